--- /dev/null
+++ b/internal/fleet/configuration/check.go
@@ -0,0 +1,254 @@
+package configuration
+
+import (
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"fulmardeal/internal/fleet/label"
+)
+
+// Ranges of what operators may write.
+const (
+	mostLimit    = 4096
+	mostReplicas = 100_000
+	mostRate     = 1e6 // requests a second
+	mostWarm     = time.Hour
+	mostDeadline = 10 * time.Minute
+	wholeShare   = 100 // percent
+	digestBytes  = 32
+)
+
+// Kinds of entities, as they are written.
+const (
+	kindDataCentre = "datacentre"
+	kindService    = "service"
+	kindModel      = "model"
+	kindCustomer   = "customer"
+	kindTraffic    = "traffic"
+	kindBudget     = "budget"
+	kindEndpoint   = "endpoint"
+)
+
+// Kinds of services.
+const (
+	ServiceModel = "model"
+	ServicePlain = "plain"
+)
+
+// checker collects the faults of one document.
+type checker struct {
+	found []Fault
+	names []string // kind/name of all entities so far
+}
+
+func (c *checker) fail(path, format string, args ...any) {
+	c.found = append(c.found, Fault{Path: path, Reason: fmt.Sprintf(format, args...)})
+}
+
+// entity checks a name and that nothing else in the document has it.
+func (c *checker) entity(kind string, i int, name string) string {
+	path := fmt.Sprintf("%s[%d]", kind, i)
+	if !label.ValidName(name) {
+		c.fail(path+".name", "%q is not a name: want 1 to 63 letters, digits, dots, dashes or underscores", name)
+		return path
+	}
+	key := kind + "/" + name
+	for _, n := range c.names {
+		if n == key {
+			c.fail(path+".name", "duplicate name %q", name)
+			break
+		}
+	}
+	c.names = append(c.names, key)
+	return path
+}
+
+func (c *checker) selector(path, text string) {
+	if _, err := label.Parse(text); err != nil {
+		c.fail(path, "%v", err)
+	}
+}
+
+func (c *checker) labels(path string, entries []LabelEntry) {
+	for i, e := range entries {
+		if !label.ValidName(e.Name) || !label.ValidName(e.Value) {
+			c.fail(fmt.Sprintf("%s.label[%d]", path, i), "%q=%q is not a label", e.Name, e.Value)
+		}
+	}
+}
+
+func (c *checker) digest(path, text string) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != digestBytes {
+		c.fail(path, "want 64 hexadecimal digits of a SHA-256")
+	}
+}
+
+func (c *checker) between(path string, v, low, high int) {
+	if v < low || v > high {
+		c.fail(path, "%d is outside %d to %d", v, low, high)
+	}
+}
+
+func (c *checker) duration(path string, d Duration, high time.Duration) {
+	if d < 0 || time.Duration(d) > high {
+		c.fail(path, "%v is outside 0s to %v", time.Duration(d), high)
+	}
+}
+
+// faults checks each entity by itself.
+func (d *Document) faults() []Fault {
+	var c checker
+	for i, e := range d.DataCentre {
+		path := c.entity(kindDataCentre, i, e.Name)
+		if !label.ValidName(e.Region) {
+			c.fail(path+".region", "%q is not a name", e.Region)
+		}
+	}
+	for i, e := range d.Service {
+		c.service(c.entity(kindService, i, e.Name), e)
+	}
+	for i, e := range d.Model {
+		path := c.entity(kindModel, i, e.Name)
+		if !label.ValidName(e.Version) {
+			c.fail(path+".version", "%q is not a name", e.Version)
+		}
+		c.digest(path+".digest", e.Digest)
+		c.between(path+".replicas", e.Replicas, 0, mostReplicas)
+		c.selector(path+".at", e.At)
+	}
+	for i, e := range d.Customer {
+		path := c.entity(kindCustomer, i, e.Name)
+		c.digest(path+".key", e.Key)
+		c.labels(path, e.Label)
+	}
+	for i, e := range d.Traffic {
+		path := c.entity(kindTraffic, i, e.Name)
+		c.selector(path+".customers", e.Customers)
+		c.selector(path+".endpoints", e.Endpoints)
+	}
+	for i, e := range d.Budget {
+		path := c.entity(kindBudget, i, e.Name)
+		c.selector(path+".customers", e.Customers)
+		c.between(path+".share", e.Share, 0, wholeShare)
+		if e.Rate < 0 || e.Rate > mostRate {
+			c.fail(path+".rate", "%v is outside 0 to %v requests a second", e.Rate, mostRate)
+		}
+	}
+	for i, e := range d.Endpoint {
+		c.labels(c.entity(kindEndpoint, i, e.Name), e.Label)
+	}
+	for i, e := range d.Remove {
+		if !knownKind(e.Kind) {
+			c.fail(fmt.Sprintf("remove[%d].kind", i), "%q is not a kind", e.Kind)
+		}
+	}
+	return c.found
+}
+
+func (c *checker) service(path string, e ServiceEntry) {
+	if e.Kind != ServiceModel && e.Kind != ServicePlain {
+		c.fail(path+".kind", "%q is neither %q nor %q", e.Kind, ServiceModel, ServicePlain)
+	}
+	c.between(path+".limit", e.Limit, 1, mostLimit)
+	c.between(path+".cold", e.Cold, 1, max(e.Limit, 1))
+	c.duration(path+".warm", e.Warm, mostWarm)
+	c.duration(path+".deadline", e.Deadline, mostDeadline)
+}
+
+func knownKind(kind string) bool {
+	switch kind {
+	case kindDataCentre, kindService, kindModel, kindCustomer, kindTraffic, kindBudget, kindEndpoint:
+		return true
+	}
+	return false
+}
+
+// wholeFaults checks what only the whole configuration can tell: selectors that
+// select nothing, budgets over 100 percent, services with no data centre left.
+func wholeFaults(d *Document) []Fault {
+	var c checker
+	universe := placements(d)
+	for i, e := range d.Model {
+		c.selects(fmt.Sprintf("model[%d].at", i), e.At, universe)
+	}
+	for i, e := range d.Traffic {
+		path := fmt.Sprintf("traffic[%d]", i)
+		c.selects(path+".endpoints", e.Endpoints, universe)
+		c.selectsCustomers(path+".customers", e.Customers, d)
+	}
+
+	total := 0
+	for i, e := range d.Budget {
+		path := fmt.Sprintf("budget[%d]", i)
+		n := c.selectsCustomers(path+".customers", e.Customers, d)
+		total += e.Share * n
+		if total > wholeShare {
+			c.fail(path+".share", "the shares of all customers add up to %d%%, over 100%%", total)
+			break
+		}
+	}
+
+	if !d.Force && len(d.DataCentre) > 0 && allOut(d) {
+		c.fail("datacentre", "every data centre would be out, which leaves no endpoint to any service; force = true allows it")
+	}
+	return c.found
+}
+
+func allOut(d *Document) bool {
+	for _, e := range d.DataCentre {
+		if !e.Out {
+			return false
+		}
+	}
+	return true
+}
+
+// placements lists the labels that an endpoint can have by where it stands and
+// what it serves. Labels of other names are not known here.
+func placements(d *Document) []label.Set {
+	var out []label.Set
+	for _, dc := range d.DataCentre {
+		for _, s := range d.Service {
+			set := label.NewSet().With("datacentre", dc.Name).With("region", dc.Region).With("service", s.Name)
+			out = append(out, set)
+		}
+	}
+	return out
+}
+
+func (c *checker) selects(path, text string, universe []label.Set) {
+	sel, err := label.Parse(text)
+	if err != nil {
+		return // reported by faults
+	}
+	placed := sel.Only("datacentre", "region", "service")
+	for _, s := range universe {
+		if placed.Matches(s) {
+			return
+		}
+	}
+	c.fail(path, "selector %q selects nothing", text)
+}
+
+func (c *checker) selectsCustomers(path, text string, d *Document) int {
+	sel, err := label.Parse(text)
+	if err != nil {
+		return 0
+	}
+	n := 0
+	for _, e := range d.Customer {
+		if sel.Matches(customerLabels(e)) {
+			n++
+		}
+	}
+	if n == 0 {
+		c.fail(path, "selector %q selects nothing", text)
+	}
+	return n
+}
+
+func customerLabels(e CustomerEntry) label.Set {
+	return label.NewSet(labelFields(e.Label)...).With("customer", e.Name)
+}
--- /dev/null
+++ b/internal/fleet/configuration/configuration.go
@@ -0,0 +1,298 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/fleet/label"
+)
+
+// defaultDeadline is a request's time when its service names none.
+const defaultDeadline = 30 * time.Second
+
+// DataCentre is a place where instances stand.
+type DataCentre struct {
+	name   string
+	region string
+	out    bool
+}
+
+// Name returns the data centre's name.
+func (d DataCentre) Name() string { return d.name }
+
+// Region returns the name of the region around it.
+func (d DataCentre) Region() string { return d.region }
+
+// Out reports whether the operators have taken it out.
+func (d DataCentre) Out() bool { return d.out }
+
+// Service is what a group of equal endpoints offers.
+type Service struct {
+	name     string
+	kind     string
+	limit    int
+	cold     int
+	warm     time.Duration
+	deadline time.Duration
+}
+
+// Name returns the service's name.
+func (s Service) Name() string { return s.name }
+
+// IsModel reports whether the endpoints are model engines.
+func (s Service) IsModel() bool { return s.kind == ServiceModel }
+
+// Limit returns the requests that a warm endpoint bears at once.
+func (s Service) Limit() int { return s.limit }
+
+// Cold returns the requests that an endpoint bears just after its start.
+func (s Service) Cold() int { return s.cold }
+
+// Warm returns the time from a cold start to the full limit.
+func (s Service) Warm() time.Duration { return s.warm }
+
+// Deadline returns the time that a request has when its caller names none.
+func (s Service) Deadline() time.Duration { return s.deadline }
+
+// Model is a version of a model and where it lives.
+type Model struct {
+	version  fulmardeal.Version
+	digest   string
+	replicas int
+	at       label.Selector
+}
+
+// Version returns the model's name with its version.
+func (m Model) Version() fulmardeal.Version { return m.version }
+
+// Digest returns the SHA-256 of the manifest, lower-case hex.
+func (m Model) Digest() string { return m.digest }
+
+// Replicas returns how many endpoints hold it; 0 means all that At matches.
+func (m Model) Replicas() int { return m.replicas }
+
+// At returns the selector of the endpoints that may hold it.
+func (m Model) At() label.Selector { return m.at }
+
+// Customer is a member whose requests are served.
+type Customer struct {
+	name   string
+	key    string
+	labels label.Set
+	rate   float64
+	share  int
+}
+
+// Name returns the customer's name.
+func (c Customer) Name() string { return c.name }
+
+// Labels returns the customer's labels, with its name under "customer".
+func (c Customer) Labels() label.Set { return c.labels }
+
+// Rate returns its budget in requests a second over all entries; 0 is no limit.
+func (c Customer) Rate() float64 { return c.rate }
+
+// Share returns its part of an endpoint's room in percent while others want
+// it; 0 is no limit.
+func (c Customer) Share() int { return c.share }
+
+type trafficRule struct {
+	customers label.Selector
+	endpoints label.Selector
+}
+
+type endpointLabels struct {
+	name   string
+	labels label.Set
+}
+
+// Configuration is the checked value that processes work from. It does not
+// change; a newer version is another value. The zero value knows nothing.
+type Configuration struct {
+	version     fulmardeal.Offset
+	dataCentres []DataCentre
+	services    []Service
+	models      []Model
+	customers   []Customer
+	traffic     []trafficRule
+	endpoints   []endpointLabels
+}
+
+// Evaluate builds the configuration of a state.
+func (s State) Evaluate() *Configuration {
+	c := &Configuration{version: s.version}
+	for _, e := range s.doc.DataCentre {
+		c.dataCentres = append(c.dataCentres, DataCentre{name: e.Name, region: e.Region, out: e.Out})
+	}
+	for _, e := range s.doc.Service {
+		c.services = append(c.services, newService(e))
+	}
+	for _, e := range s.doc.Model {
+		c.models = append(c.models, Model{
+			version:  fulmardeal.Version{Model: e.Name, Name: e.Version},
+			digest:   e.Digest,
+			replicas: e.Replicas,
+			at:       mustParse(e.At),
+		})
+	}
+	for _, e := range s.doc.Customer {
+		c.customers = append(c.customers, newCustomer(e, s.doc.Budget))
+	}
+	for _, e := range s.doc.Traffic {
+		c.traffic = append(c.traffic, trafficRule{customers: mustParse(e.Customers), endpoints: mustParse(e.Endpoints)})
+	}
+	for _, e := range s.doc.Endpoint {
+		c.endpoints = append(c.endpoints, endpointLabels{name: e.Name, labels: label.NewSet(labelFields(e.Label)...)})
+	}
+	return c
+}
+
+func newService(e ServiceEntry) Service {
+	s := Service{
+		name:     e.Name,
+		kind:     e.Kind,
+		limit:    e.Limit,
+		cold:     e.Cold,
+		warm:     time.Duration(e.Warm),
+		deadline: time.Duration(e.Deadline),
+	}
+	if s.deadline == 0 {
+		s.deadline = defaultDeadline
+	}
+	return s
+}
+
+// newCustomer gives a customer the tightest of the budgets that match it.
+func newCustomer(e CustomerEntry, budgets []BudgetEntry) Customer {
+	c := Customer{name: e.Name, key: e.Key, labels: customerLabels(e)}
+	for _, b := range budgets {
+		if !mustParse(b.Customers).Matches(c.labels) {
+			continue
+		}
+		if b.Rate > 0 && (c.rate == 0 || b.Rate < c.rate) {
+			c.rate = b.Rate
+		}
+		if b.Share > 0 && (c.share == 0 || b.Share < c.share) {
+			c.share = b.Share
+		}
+	}
+	return c
+}
+
+// mustParse reads a selector that the checks have passed; an unreadable one
+// selects nothing.
+func mustParse(text string) label.Selector {
+	sel, err := label.Parse(text)
+	if err != nil {
+		none, _ := label.Parse("none=none")
+		return none
+	}
+	return sel
+}
+
+// Version returns the offset of the record that this configuration ends with.
+func (c *Configuration) Version() fulmardeal.Offset {
+	if c == nil {
+		return 0
+	}
+	return c.version
+}
+
+// DataCentres returns the data centres sorted by name.
+func (c *Configuration) DataCentres() []DataCentre { return c.dataCentres }
+
+// DataCentre returns the data centre called name.
+func (c *Configuration) DataCentre(name string) (DataCentre, bool) {
+	i := slices.IndexFunc(c.dataCentres, func(d DataCentre) bool { return d.name == name })
+	if i < 0 {
+		return DataCentre{}, false
+	}
+	return c.dataCentres[i], true
+}
+
+// IsOut reports whether the data centre called name has been taken out.
+func (c *Configuration) IsOut(name string) bool {
+	d, known := c.DataCentre(name)
+	return known && d.out
+}
+
+// Services returns the services sorted by name.
+func (c *Configuration) Services() []Service { return c.services }
+
+// Service returns the service called name.
+func (c *Configuration) Service(name string) (Service, bool) {
+	i := slices.IndexFunc(c.services, func(s Service) bool { return s.name == name })
+	if i < 0 {
+		return Service{}, false
+	}
+	return c.services[i], true
+}
+
+// Models returns the models sorted by name.
+func (c *Configuration) Models() []Model { return c.models }
+
+// Model returns the model called name.
+func (c *Configuration) Model(name string) (Model, bool) {
+	i := slices.IndexFunc(c.models, func(m Model) bool { return m.version.Model == name })
+	if i < 0 {
+		return Model{}, false
+	}
+	return c.models[i], true
+}
+
+// Customers returns the customers sorted by name.
+func (c *Configuration) Customers() []Customer { return c.customers }
+
+// Customer returns the customer called name.
+func (c *Configuration) Customer(name string) (Customer, bool) {
+	i := slices.IndexFunc(c.customers, func(x Customer) bool { return x.name == name })
+	if i < 0 {
+		return Customer{}, false
+	}
+	return c.customers[i], true
+}
+
+// Authenticate returns the customer whose bearer key this is.
+func (c *Configuration) Authenticate(key string) (Customer, bool) {
+	hash := HashKey(key)
+	i := slices.IndexFunc(c.customers, func(x Customer) bool { return x.key == hash })
+	if i < 0 {
+		return Customer{}, false
+	}
+	return c.customers[i], true
+}
+
+// HashKey returns the form in which the configuration keeps a bearer key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Allowed reports whether a traffic rule lets the customer reach an endpoint
+// with these labels.
+func (c *Configuration) Allowed(x Customer, endpoint label.Set) bool {
+	for _, r := range c.traffic {
+		if r.customers.Matches(x.labels) && r.endpoints.Matches(endpoint) {
+			return true
+		}
+	}
+	return false
+}
+
+// EndpointLabels returns the labels of an endpoint: where it stands, what it
+// serves, those of its settings, and over them the operators'.
+func (c *Configuration) EndpointLabels(in fulmardeal.Instance) label.Set {
+	set := label.NewSet(in.Labels...).
+		With("datacentre", in.DataCentre).
+		With("region", in.Region).
+		With("service", in.Service).
+		With("endpoint", in.Name)
+	i := slices.IndexFunc(c.endpoints, func(e endpointLabels) bool { return e.name == in.Name })
+	if i < 0 {
+		return set
+	}
+	return set.Merge(c.endpoints[i].labels)
+}
--- /dev/null
+++ b/internal/fleet/configuration/overlay.go
@@ -0,0 +1,124 @@
+package configuration
+
+import (
+	"slices"
+	"strings"
+)
+
+// named is the part of an entry that the overlay needs.
+type named interface{ key() string }
+
+func (e DataCentreEntry) key() string { return e.Name }
+func (e ServiceEntry) key() string    { return e.Name }
+func (e ModelEntry) key() string      { return e.Name }
+func (e CustomerEntry) key() string   { return e.Name }
+func (e TrafficEntry) key() string    { return e.Name }
+func (e BudgetEntry) key() string     { return e.Name }
+func (e EndpointEntry) key() string   { return e.Name }
+
+// overlay returns base with the entities of change set and removed, each kind
+// sorted by name.
+func overlay(base, change Document) Document {
+	gone := func(kind string) func(name string) bool {
+		return func(name string) bool {
+			return slices.ContainsFunc(change.Remove, func(r RemoveEntry) bool {
+				return r.Kind == kind && r.Name == name
+			})
+		}
+	}
+
+	var out Document
+	for _, e := range merge(listDataCentre(base), listDataCentre(change), gone(kindDataCentre)) {
+		out.DataCentre = append(out.DataCentre, e.(DataCentreEntry))
+	}
+	for _, e := range merge(listService(base), listService(change), gone(kindService)) {
+		out.Service = append(out.Service, e.(ServiceEntry))
+	}
+	for _, e := range merge(listModel(base), listModel(change), gone(kindModel)) {
+		out.Model = append(out.Model, e.(ModelEntry))
+	}
+	for _, e := range merge(listCustomer(base), listCustomer(change), gone(kindCustomer)) {
+		out.Customer = append(out.Customer, e.(CustomerEntry))
+	}
+	for _, e := range merge(listTraffic(base), listTraffic(change), gone(kindTraffic)) {
+		out.Traffic = append(out.Traffic, e.(TrafficEntry))
+	}
+	for _, e := range merge(listBudget(base), listBudget(change), gone(kindBudget)) {
+		out.Budget = append(out.Budget, e.(BudgetEntry))
+	}
+	for _, e := range merge(listEndpoint(base), listEndpoint(change), gone(kindEndpoint)) {
+		out.Endpoint = append(out.Endpoint, e.(EndpointEntry))
+	}
+	return out
+}
+
+func listDataCentre(d Document) []named {
+	var out []named
+	for _, e := range d.DataCentre {
+		out = append(out, e)
+	}
+	return out
+}
+
+func listService(d Document) []named {
+	var out []named
+	for _, e := range d.Service {
+		out = append(out, e)
+	}
+	return out
+}
+
+func listModel(d Document) []named {
+	var out []named
+	for _, e := range d.Model {
+		out = append(out, e)
+	}
+	return out
+}
+
+func listCustomer(d Document) []named {
+	var out []named
+	for _, e := range d.Customer {
+		out = append(out, e)
+	}
+	return out
+}
+
+func listTraffic(d Document) []named {
+	var out []named
+	for _, e := range d.Traffic {
+		out = append(out, e)
+	}
+	return out
+}
+
+func listBudget(d Document) []named {
+	var out []named
+	for _, e := range d.Budget {
+		out = append(out, e)
+	}
+	return out
+}
+
+func listEndpoint(d Document) []named {
+	var out []named
+	for _, e := range d.Endpoint {
+		out = append(out, e)
+	}
+	return out
+}
+
+// merge sets the entries of change over those of base, drops the gone ones and
+// sorts by name.
+func merge(base, change []named, gone func(name string) bool) []named {
+	var out []named
+	for _, e := range base {
+		replaced := slices.ContainsFunc(change, func(c named) bool { return c.key() == e.key() })
+		if !replaced && !gone(e.key()) {
+			out = append(out, e)
+		}
+	}
+	out = append(out, change...)
+	slices.SortFunc(out, func(a, b named) int { return strings.Compare(a.key(), b.key()) })
+	return out
+}
--- /dev/null
+++ b/internal/fleet/configuration/state.go
@@ -0,0 +1,229 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"fulmardeal"
+)
+
+// Verdict says what became of one record.
+type Verdict struct {
+	id       string
+	offset   fulmardeal.Offset
+	accepted bool
+	reason   string // why it was refused
+}
+
+// ID returns the record's id, empty when the record could not be read.
+func (v Verdict) ID() string { return v.id }
+
+// Offset returns the record's offset.
+func (v Verdict) Offset() fulmardeal.Offset { return v.offset }
+
+// Accepted reports whether the record is in force.
+func (v Verdict) Accepted() bool { return v.accepted }
+
+// Reason returns why the record was refused.
+func (v Verdict) Reason() string { return v.reason }
+
+// State is the deterministic fold of the configuration stream. Two processes
+// that have folded the same records hold the same bytes. It is a value: Fold
+// returns a new one.
+type State struct {
+	version fulmardeal.Offset
+	doc     Document
+	touched []TouchedMark // sorted by kind, then name
+}
+
+// Version returns the offset of the last folded record.
+func (s State) Version() fulmardeal.Offset { return s.version }
+
+// Document returns the whole configuration as a document, sorted.
+func (s State) Document() Document { return s.doc }
+
+// Fold applies the record at offset. A record that can't be read, comes from a
+// newer format, is based on an older state of what it touches, or would make a
+// faulty configuration is refused and changes nothing but the version.
+func (s State) Fold(r fulmardeal.Record) (State, Verdict) {
+	next := s
+	next.version = r.Offset
+	v := Verdict{offset: r.Offset}
+
+	e, err := decodeEnvelope(r.Body)
+	v.id = e.ID
+	if err != nil {
+		v.reason = err.Error()
+		return next, v
+	}
+	if e.Snapshot != nil {
+		v.accepted = true
+		return next, v
+	}
+
+	if reason := s.conflict(e); reason != "" {
+		v.reason = reason
+		return next, v
+	}
+	changed := s.apply(e.Change, r.Offset)
+	if faults := wholeFaults(&changed.doc); len(faults) > 0 {
+		v.reason = (&FaultsError{Faults: faults}).Error()
+		return next, v
+	}
+	changed.version = r.Offset
+	v.accepted = true
+	return changed, v
+}
+
+func decodeEnvelope(body []byte) (Envelope, error) {
+	// The format is read leniently first: a newer one may have unknown keys.
+	var head struct {
+		Format int    `toml:"format"`
+		ID     string `toml:"id"`
+	}
+	if len(body) > MostRecordBytes {
+		return Envelope{}, fmt.Errorf("record of %d bytes; at most %d are allowed", len(body), MostRecordBytes)
+	}
+	if err := toml.Unmarshal(body, &head); err != nil {
+		return Envelope{}, fmt.Errorf("record is not TOML: %w", err)
+	}
+	if head.Format != Format {
+		return Envelope{ID: head.ID}, fmt.Errorf("record format %d; this program reads format %d", head.Format, Format)
+	}
+
+	var e Envelope
+	if err := Decode("record", body, &e); err != nil {
+		return Envelope{ID: head.ID}, err
+	}
+	if faults := e.Change.faults(); len(faults) > 0 {
+		return Envelope{ID: head.ID}, &FaultsError{Faults: faults}
+	}
+	return e, nil
+}
+
+// conflict says why a record is stale: something that it touches has changed
+// since its writer looked.
+func (s State) conflict(e Envelope) string {
+	for _, m := range e.Change.touches() {
+		i, found := slices.BinarySearchFunc(s.touched, m, compareMarks)
+		if found && s.touched[i].Offset > e.Base {
+			return fmt.Sprintf("%s %s changed at version %d, after version %d that this change is based on",
+				m.Kind, m.Name, s.touched[i].Offset, e.Base)
+		}
+	}
+	return ""
+}
+
+func compareMarks(a, b TouchedMark) int {
+	if c := strings.Compare(a.Kind, b.Kind); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
+// touches lists the entities that a change sets or removes.
+func (d *Document) touches() []TouchedMark {
+	var out []TouchedMark
+	add := func(kind, name string) { out = append(out, TouchedMark{Kind: kind, Name: name}) }
+	for _, e := range d.DataCentre {
+		add(kindDataCentre, e.Name)
+	}
+	for _, e := range d.Service {
+		add(kindService, e.Name)
+	}
+	for _, e := range d.Model {
+		add(kindModel, e.Name)
+	}
+	for _, e := range d.Customer {
+		add(kindCustomer, e.Name)
+	}
+	for _, e := range d.Traffic {
+		add(kindTraffic, e.Name)
+	}
+	for _, e := range d.Budget {
+		add(kindBudget, e.Name)
+	}
+	for _, e := range d.Endpoint {
+		add(kindEndpoint, e.Name)
+	}
+	for _, e := range d.Remove {
+		add(e.Kind, e.Name)
+	}
+	return out
+}
+
+// apply returns the state with the change made and its entities marked.
+func (s State) apply(change Document, at fulmardeal.Offset) State {
+	next := State{version: s.version, doc: overlay(s.doc, change), touched: slices.Clone(s.touched)}
+	next.doc.Force = change.Force
+	for _, m := range change.touches() {
+		m.Offset = int64(at)
+		i, found := slices.BinarySearchFunc(next.touched, m, compareMarks)
+		if found {
+			next.touched[i] = m
+			continue
+		}
+		next.touched = slices.Insert(next.touched, i, m)
+	}
+	return next
+}
+
+// Canonical returns the state's bytes: equal states give equal bytes.
+func (s State) Canonical() []byte {
+	e := Envelope{Format: Format, ID: "snapshot", Snapshot: &Snapshot{
+		Covers:  int64(s.version),
+		State:   s.doc,
+		Touched: s.touched,
+	}}
+	body, err := toml.Marshal(e)
+	if err != nil {
+		panic(fmt.Sprintf("configuration: a checked state can't be encoded: %v", err))
+	}
+	return body
+}
+
+// Digest returns the SHA-256 of the canonical bytes.
+func (s State) Digest() string {
+	sum := sha256.Sum256(s.Canonical())
+	return hex.EncodeToString(sum[:])
+}
+
+// Restore reads a state from the canonical bytes of a snapshot.
+func Restore(body []byte) (State, error) {
+	e, err := decodeEnvelope(body)
+	if err != nil {
+		return State{}, err
+	}
+	if e.Snapshot == nil {
+		return State{}, fmt.Errorf("record %q is not a snapshot", e.ID)
+	}
+	s := e.Snapshot
+	return State{version: fulmardeal.Offset(s.Covers), doc: overlay(Document{}, s.State), touched: s.Touched}, nil
+}
+
+// EncodeChange returns the record body of a change.
+func EncodeChange(id string, base fulmardeal.Offset, change Document) ([]byte, error) {
+	body, err := toml.Marshal(Envelope{Format: Format, ID: id, Base: int64(base), Change: change})
+	if err != nil {
+		return nil, fmt.Errorf("change %s can't be encoded: %w", id, err)
+	}
+	if len(body) > MostRecordBytes {
+		return nil, fmt.Errorf("change %s has %d bytes; at most %d are allowed", id, len(body), MostRecordBytes)
+	}
+	return body, nil
+}
+
+// Check reports the faults that change would make on top of s.
+func (s State) Check(change Document) []Fault {
+	faults := change.faults()
+	if len(faults) > 0 {
+		return faults
+	}
+	next := s.apply(change, s.version+1)
+	return wholeFaults(&next.doc)
+}
--- /dev/null
+++ b/internal/link/connection/server.go
@@ -0,0 +1,138 @@
+package connection
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"fulmardeal"
+)
+
+// Server accepts connections and hands their calls to the registered services.
+type Server struct {
+	listener net.Listener
+	rpc      *rpc.Server
+
+	mu     sync.Mutex
+	conns  []net.Conn
+	closed bool
+	done   sync.WaitGroup
+}
+
+// Listen opens the listener of a server. Register the services, then Serve.
+// The returned function closes the listener and every connection.
+func Listen(network fulmardeal.Network, address string) (*Server, func(), error) {
+	l, err := network.Listen(address)
+	if err != nil {
+		return nil, nil, err
+	}
+	s := &Server{listener: l, rpc: rpc.NewServer()}
+	if err := s.Register("Heartbeat", Heartbeat{}); err != nil {
+		l.Close()
+		return nil, nil, err
+	}
+	return s, s.close, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Register adds a service under a name.
+func (s *Server) Register(name string, service any) error { return s.rpc.RegisterName(name, service) }
+
+// Serve accepts connections until the server is closed.
+func (s *Server) Serve() error {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) || s.isClosed() {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if !s.track(conn) {
+			return nil
+		}
+		go func() {
+			defer s.done.Done()
+			s.rpc.ServeConn(watched{Conn: conn})
+			s.untrack(conn)
+		}()
+	}
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		conn.Close()
+		return false
+	}
+	s.conns = append(s.conns, conn)
+	s.done.Add(1)
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, c := range s.conns {
+		if c == conn {
+			s.conns = append(s.conns[:i], s.conns[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *Server) close() {
+	s.mu.Lock()
+	s.closed = true
+	conns := append([]net.Conn(nil), s.conns...)
+	s.mu.Unlock()
+	s.listener.Close()
+	for _, c := range conns {
+		c.Close()
+	}
+	s.done.Wait()
+}
+
+// watched closes a connection on which nothing has arrived for readTimeout, or
+// that has taken no byte for as long.
+type watched struct {
+	net.Conn
+}
+
+func (w watched) Read(p []byte) (int, error) {
+	if err := w.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
+		return 0, err
+	}
+	return w.Conn.Read(p)
+}
+
+func (w watched) Write(p []byte) (int, error) {
+	if err := w.SetWriteDeadline(time.Now().Add(readTimeout)); err != nil {
+		return 0, err
+	}
+	return w.Conn.Write(p)
+}
+
+// TCP is the network of plain TCP by IP. The zero value is ready to use.
+type TCP struct{}
+
+// Dial opens a connection.
+func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Listen opens a listener.
+func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
