traffic: admission, attempts, choice, claims, budgets and the request path

The parts of the request path as tables and small systems, with the adapters to the platform and the stand-ins that they are tried against.

--- /dev/null
+++ b/internal/fleet/membership/rank.go
@@ -0,0 +1,56 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score is the rendezvous hash of a name for a job: the names with the highest
+// scores are the job's candidates, in that order. Every process works it out
+// alike from the same names.
+func Score(job, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(job) // a Digest never fails
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
+
+// Rank returns the place of name among names for a job, counted from 0, or -1
+// when it is not among them.
+func Rank(job, name string, names []string) int {
+	if !slices.Contains(names, name) {
+		return -1
+	}
+	own := Score(job, name)
+	rank := 0
+	for _, n := range names {
+		s := Score(job, n)
+		if s > own || s == own && n < name {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Order returns names sorted by their rank for a job.
+func Order(job string, names []string) []string {
+	out := slices.Clone(names)
+	slices.SortFunc(out, func(a, b string) int {
+		x, y := Score(job, a), Score(job, b)
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		case a < b:
+			return -1
+		case a > b:
+			return 1
+		}
+		return 0
+	})
+	return out
+}
--- /dev/null
+++ b/internal/fleet/membership/table.go
@@ -0,0 +1,402 @@
+// Package membership holds what one process knows about the others.
+//
+// The platform's list of instances lags, so it is joined with what processes
+// hear from each other. Each process probes a fixed number of others a tick,
+// and news travels with the probes, so that the cost for a process doesn't
+// grow with the fleet. The package decides; it sends nothing itself.
+package membership
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"fulmardeal"
+)
+
+// State is what is thought of a member.
+type State int
+
+// States of members. A later one wins over an earlier one at the same beat.
+const (
+	Alive State = iota
+	Suspect
+	Gone
+)
+
+// String returns the state in one word.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	}
+	return "gone"
+}
+
+// Times of the failure detector.
+const (
+	// suspectFor is the time that a suspected member has to speak up.
+	suspectFor = 4 * time.Second
+
+	// goneFor is how long a gone member is remembered, so that late news or
+	// the lagging list doesn't bring it back.
+	goneFor = 2 * time.Minute
+
+	// mostNews bounds the news in one message.
+	mostNews = 12
+)
+
+// News is what processes tell each other about a member.
+type News struct {
+	Instance fulmardeal.Instance
+	Serving  fulmardeal.Version // the weights that an agent's endpoint serves
+	Held     fulmardeal.Version // the newest weights that it holds whole
+	Beat     uint64             // raised by the member itself at each change
+	State    State
+}
+
+// Member is one process as this one sees it.
+type Member struct {
+	news    News
+	heard   time.Time // first-hand, or since when it is known
+	changed time.Time // of the state
+	sends   int       // how often the latest news is still to be passed on
+	listed  bool
+}
+
+// Instance returns the member's description.
+func (m Member) Instance() fulmardeal.Instance { return m.news.Instance }
+
+// Serving returns the weights that the member's endpoint serves.
+func (m Member) Serving() fulmardeal.Version { return m.news.Serving }
+
+// Held returns the newest weights that the member holds whole.
+func (m Member) Held() fulmardeal.Version { return m.news.Held }
+
+// State returns what is thought of the member.
+func (m Member) State() State { return m.news.State }
+
+// Table is one process's view of the members. Its own entry is one of them. It
+// is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	self    News
+	members map[string]*Member // by incarnation
+	ring    []string           // incarnations still to be probed this round
+	random  *rand.Rand
+	version uint64
+}
+
+// NewTable returns a table that knows only self.
+func NewTable(self fulmardeal.Instance, seed uint64) *Table {
+	t := &Table{
+		self:    News{Instance: self, Beat: 1},
+		members: make(map[string]*Member),
+		random:  rand.New(rand.NewPCG(seed, 1)),
+	}
+	t.members[self.Incarnation] = &Member{news: t.self}
+	return t
+}
+
+// Version changes whenever the view of any member does.
+func (t *Table) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+// Self returns this process's own news.
+func (t *Table) Self() News {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.self
+}
+
+// Update changes this process's own news, which then spreads.
+func (t *Table) Update(change func(n *News)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.self
+	change(&t.self)
+	if equal(before, t.self) {
+		return
+	}
+	t.self.Beat++
+	t.spread(t.self)
+}
+
+func equal(a, b News) bool {
+	return a.Serving == b.Serving && a.Held == b.Held && a.State == b.State &&
+		a.Instance.Leaving == b.Instance.Leaving && slices.Equal(a.Instance.Labels, b.Instance.Labels)
+}
+
+// spread stores news about a member and marks it to be passed on.
+func (t *Table) spread(n News) {
+	m := t.members[n.Instance.Incarnation]
+	if m == nil {
+		m = &Member{}
+		t.members[n.Instance.Incarnation] = m
+	}
+	m.news = n
+	m.sends = t.retransmissions()
+	t.version++
+}
+
+// retransmissions returns how often a process passes a piece of news on: a few
+// times the logarithm of the fleet reaches everyone with near certainty.
+func (t *Table) retransmissions() int {
+	return 3 * (1 + bits.Len(uint(len(t.members))))
+}
+
+// Hear takes in news from another process.
+func (t *Table) Hear(now time.Time, all []News) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, n := range all {
+		t.hear(now, n)
+	}
+}
+
+func (t *Table) hear(now time.Time, n News) {
+	if n.Instance.Incarnation == t.self.Instance.Incarnation {
+		t.refute(n)
+		return
+	}
+	m, known := t.members[n.Instance.Incarnation]
+	if known && !newer(n, m.news) {
+		return
+	}
+	changed := !known || m.news.State != n.State
+	t.spread(n)
+	m = t.members[n.Instance.Incarnation]
+	if !known {
+		m.heard = now
+	}
+	if changed {
+		m.changed = now
+	}
+}
+
+// refute answers a rumour that this process is gone.
+func (t *Table) refute(n News) {
+	if n.State == Alive || n.Beat < t.self.Beat {
+		return
+	}
+	t.self.Beat = n.Beat + 1
+	t.spread(t.self)
+}
+
+func newer(a, b News) bool {
+	if a.Beat != b.Beat {
+		return a.Beat > b.Beat
+	}
+	return a.State > b.State
+}
+
+// Met notes that a process has spoken first-hand.
+func (t *Table) Met(now time.Time, n News) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hear(now, n)
+	m, known := t.members[n.Instance.Incarnation]
+	if !known {
+		return
+	}
+	m.heard = now
+	if m.news.State == Suspect && n.Beat >= m.news.Beat {
+		m.news.State = Alive
+		m.changed = now
+		t.version++
+	}
+}
+
+// Missed notes that a process didn't answer.
+func (t *Table) Missed(now time.Time, incarnation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, known := t.members[incarnation]
+	if !known || m.news.State != Alive {
+		return
+	}
+	n := m.news
+	n.State = Suspect
+	t.spread(n)
+	m.changed = now
+}
+
+// Replaced notes that another process answers at a member's address: the
+// member is gone for certain.
+func (t *Table) Replaced(now time.Time, incarnation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, known := t.members[incarnation]
+	if !known || m.news.State == Gone {
+		return
+	}
+	n := m.news
+	n.State = Gone
+	t.spread(n)
+	m.changed = now
+}
+
+// Listed joins the platform's list. The list lags: it adds members that nobody
+// has spoken of, but it brings no gone member back.
+func (t *Table) Listed(now time.Time, list []fulmardeal.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, in := range list {
+		m, known := t.members[in.Incarnation]
+		if known {
+			m.listed = true
+			if m.news.State == Alive && in.Leaving && !m.news.Instance.Leaving {
+				m.news.Instance.Leaving = true
+				t.version++
+			}
+			continue
+		}
+		t.members[in.Incarnation] = &Member{news: News{Instance: in}, heard: now, changed: now, listed: true}
+		t.version++
+	}
+}
+
+// Tick turns suspects into gone members and forgets those long gone.
+func (t *Table) Tick(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key, m := range t.members {
+		if key == t.self.Instance.Incarnation {
+			continue
+		}
+		switch {
+		case m.news.State == Suspect && now.Sub(m.changed) > suspectFor:
+			n := m.news
+			n.State = Gone
+			t.spread(n)
+			m.changed = now
+		case m.news.State == Gone && now.Sub(m.changed) > goneFor:
+			delete(t.members, key)
+			t.version++
+		}
+	}
+}
+
+// Probe returns the next member to talk to: each once a round, in an order
+// that is shuffled anew each round. It reports false when there is none.
+func (t *Table) Probe() (fulmardeal.Instance, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for range 2 {
+		for len(t.ring) > 0 {
+			key := t.ring[0]
+			t.ring = t.ring[1:]
+			m, known := t.members[key]
+			if known && m.news.State != Gone && key != t.self.Instance.Incarnation {
+				return m.news.Instance, true
+			}
+		}
+		t.ring = t.ring[:0]
+		for key := range t.members {
+			t.ring = append(t.ring, key)
+		}
+		slices.Sort(t.ring)
+		t.random.Shuffle(len(t.ring), func(i, j int) { t.ring[i], t.ring[j] = t.ring[j], t.ring[i] })
+	}
+	return fulmardeal.Instance{}, false
+}
+
+// Some returns up to n random members that are thought alive.
+func (t *Table) Some(n int) []fulmardeal.Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []fulmardeal.Instance
+	for _, m := range t.sorted() {
+		if m.news.State == Alive && m.news.Instance.Incarnation != t.self.Instance.Incarnation {
+			out = append(out, m.news.Instance)
+		}
+	}
+	t.random.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(n, len(out))]
+}
+
+// Tell returns the news to send with the next message: this process's own, and
+// what has been passed on least often.
+func (t *Table) Tell() []News {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var fresh []*Member
+	for _, m := range t.members {
+		if m.sends > 0 {
+			fresh = append(fresh, m)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b *Member) int {
+		if a.sends != b.sends {
+			return b.sends - a.sends
+		}
+		return strings.Compare(a.news.Instance.Incarnation, b.news.Instance.Incarnation)
+	})
+
+	var out []News
+	for _, m := range fresh[:min(len(fresh), mostNews)] {
+		m.sends--
+		out = append(out, m.news)
+	}
+	return out
+}
+
+// All returns all that is known, for a process that has just started.
+func (t *Table) All() []News {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []News
+	for _, m := range t.sorted() {
+		out = append(out, m.news)
+	}
+	return out
+}
+
+// Members returns the members that are not gone, sorted by name.
+func (t *Table) Members() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Member
+	for _, m := range t.sorted() {
+		if m.news.State != Gone {
+			out = append(out, *m)
+		}
+	}
+	return out
+}
+
+// Silent returns how long ago the last other member spoke first-hand. It
+// reports false when no other member is known.
+func (t *Table) Silent(now time.Time) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var last time.Time
+	for key, m := range t.members {
+		if key != t.self.Instance.Incarnation && m.heard.After(last) {
+			last = m.heard
+		}
+	}
+	return now.Sub(last), !last.IsZero()
+}
+
+func (t *Table) sorted() []*Member {
+	var out []*Member
+	for _, m := range t.members {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b *Member) int {
+		if c := strings.Compare(a.news.Instance.Name, b.news.Instance.Name); c != 0 {
+			return c
+		}
+		return strings.Compare(a.news.Instance.Incarnation, b.news.Instance.Incarnation)
+	})
+	return out
+}
--- a/internal/link/connection/connection.go
+++ b/internal/link/connection/connection.go
@@ -63,8 +63,6 @@
 // Ping answers a heartbeat.
 func (Heartbeat) Ping(Ping, *Ping) error { return nil }
 
-var errSilent = errors.New("no answer to a heartbeat")
-
 // Client calls the process at one address over one connection at a time. It is
 // safe for concurrent use.
 type Client struct {
--- /dev/null
+++ b/internal/platform/adapter/client.go
@@ -0,0 +1,162 @@
+// Package adapter speaks the platform's and the endpoints' protocols: HTTP with
+// JSON, through fasthttp.
+//
+// Adapters translate and nothing more. They never repeat a request: fasthttp's
+// own repeats are switched off, since only the caller knows what may run twice.
+package adapter
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"fulmardeal"
+)
+
+// Times and sizes of calls to the platform.
+const (
+	callTimeout = 5 * time.Second // when the context has no deadline
+	dialTimeout = time.Second
+	idleTimeout = 30 * time.Second
+	mostConns   = 4096
+	mostAnswer  = 64 << 20 // bytes
+)
+
+// StatusError is an answer with an unexpected status.
+type StatusError struct {
+	URL    string
+	Status int
+	Body   string
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s answered %d: %s", e.URL, e.Status, e.Body)
+}
+
+// dialError marks an error from before any byte was sent.
+type dialError struct {
+	cause error
+}
+
+func (e *dialError) Error() string { return e.cause.Error() }
+
+func (e *dialError) Unwrap() error { return e.cause }
+
+// newHostClient returns a client of one address that repeats nothing.
+func newHostClient(address string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                          address,
+		MaxConns:                      mostConns,
+		MaxIdleConnDuration:           idleTimeout,
+		MaxIdemponentCallAttempts:     1,
+		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		DisablePathNormalizing:        true,
+		NoDefaultUserAgentHeader:      true,
+		MaxResponseBodySize:           mostAnswer,
+		DisableHeaderNamesNormalizing: false,
+		Dial: func(addr string) (net.Conn, error) {
+			c, err := net.DialTimeout("tcp", addr, dialTimeout)
+			if err != nil {
+				return nil, &dialError{cause: err}
+			}
+			return c, nil
+		},
+	}
+}
+
+// service is one HTTP service of the platform.
+type service struct {
+	name   string
+	base   string
+	client *fasthttp.HostClient
+}
+
+// newService returns a client of the service at base, such as
+// http://127.0.0.1:7001.
+func newService(name, base string) (*service, error) {
+	u, err := url.Parse(base)
+	if err != nil {
+		return nil, fmt.Errorf("%s address %q: %w", name, base, err)
+	}
+	if u.Scheme != "http" || u.Port() == "" {
+		return nil, fmt.Errorf("%s address %q: want http://IP:PORT", name, base)
+	}
+	return &service{name: name, base: base, client: newHostClient(u.Host)}, nil
+}
+
+// answer is a whole reply of a platform service.
+type answer struct {
+	status int
+	after  time.Duration // from Retry-After
+	body   []byte
+}
+
+func (s *service) do(ctx context.Context, method, path string, body []byte) (answer, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(s.base + path)
+	req.SetBodyRaw(body)
+
+	if err := s.client.DoDeadline(req, resp, deadline(ctx)); err != nil {
+		return answer{}, fmt.Errorf("%s %s: %w", s.name, path, err)
+	}
+	seconds, _ := strconv.Atoi(string(resp.Header.Peek("Retry-After")))
+	return answer{
+		status: resp.StatusCode(),
+		after:  time.Duration(seconds) * time.Second,
+		body:   append([]byte(nil), resp.Body()...),
+	}, nil
+}
+
+func deadline(ctx context.Context) time.Time {
+	if d, ok := ctx.Deadline(); ok {
+		return d
+	}
+	return time.Now().Add(callTimeout)
+}
+
+// call does a request and decodes the JSON of a good answer into reply, unless
+// reply is nil. A busy or missing answer becomes the matching error.
+func (s *service) call(ctx context.Context, method, path string, body []byte, reply any) error {
+	a, err := s.do(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	if err := s.check(path, a); err != nil {
+		return err
+	}
+	if reply == nil {
+		return nil
+	}
+	if err := json.Unmarshal(a.body, reply); err != nil {
+		return fmt.Errorf("%s %s: answer is not the JSON that was expected: %w", s.name, path, err)
+	}
+	return nil
+}
+
+func (s *service) check(path string, a answer) error {
+	switch {
+	case a.status >= 200 && a.status < 300:
+		return nil
+	case a.status == fasthttp.StatusTooManyRequests, a.status == fasthttp.StatusServiceUnavailable:
+		return &fulmardeal.BusyError{Service: s.name, After: max(a.after, time.Second)}
+	case a.status == fasthttp.StatusNotFound:
+		return &fulmardeal.MissingError{Service: s.name, Thing: path}
+	}
+	return &StatusError{URL: s.base + path, Status: a.status, Body: string(a.body[:min(len(a.body), 200)])}
+}
+
+// unsent reports whether err is from before any byte was sent.
+func unsent(err error) bool {
+	var d *dialError
+	return errors.As(err, &d) || errors.Is(err, fasthttp.ErrNoFreeConns)
+}
--- /dev/null
+++ b/internal/platform/adapter/platform.go
@@ -0,0 +1,163 @@
+package adapter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"fulmardeal"
+)
+
+// Log speaks to the platform's log service.
+type Log struct {
+	service *service
+}
+
+// NewLog returns the log at base.
+func NewLog(base string) (*Log, error) {
+	s, err := newService("log", base)
+	if err != nil {
+		return nil, err
+	}
+	return &Log{service: s}, nil
+}
+
+// Appended is the log's answer to an append.
+type Appended struct {
+	Offset fulmardeal.Offset `json:"offset"`
+}
+
+// Page is the log's answer to a read.
+type Page struct {
+	First   fulmardeal.Offset   `json:"first"` // the oldest that is kept
+	Records []fulmardeal.Record `json:"records"`
+}
+
+// Append adds a record to the stream.
+func (l *Log) Append(ctx context.Context, stream string, body []byte) (fulmardeal.Offset, error) {
+	var a Appended
+	err := l.service.call(ctx, fasthttp.MethodPost, "/streams/"+url.PathEscape(stream), body, &a)
+	return a.Offset, err
+}
+
+// Read returns records from an offset on.
+func (l *Log) Read(ctx context.Context, stream string, from fulmardeal.Offset, most int) ([]fulmardeal.Record, error) {
+	path := fmt.Sprintf("/streams/%s?from=%d&most=%d", url.PathEscape(stream), from, most)
+	a, err := l.service.do(ctx, fasthttp.MethodGet, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	var p Page
+	if a.status == fasthttp.StatusGone {
+		if err := json.Unmarshal(a.body, &p); err != nil {
+			return nil, fmt.Errorf("log %s: %w", path, err)
+		}
+		return nil, &fulmardeal.TrimmedError{Stream: stream, First: p.First}
+	}
+	if err := l.service.check(path, a); err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(a.body, &p); err != nil {
+		return nil, fmt.Errorf("log %s: %w", path, err)
+	}
+	return p.Records, nil
+}
+
+// Origin speaks to the origin of weights.
+type Origin struct {
+	service *service
+}
+
+// NewOrigin returns the origin at base.
+func NewOrigin(base string) (*Origin, error) {
+	s, err := newService("origin", base)
+	if err != nil {
+		return nil, err
+	}
+	return &Origin{service: s}, nil
+}
+
+func versionPath(v fulmardeal.Version) string {
+	return "/models/" + url.PathEscape(v.Model) + "/" + url.PathEscape(v.Name)
+}
+
+// Manifest returns the encoded manifest of v.
+func (o *Origin) Manifest(ctx context.Context, v fulmardeal.Version) ([]byte, error) {
+	return o.get(ctx, versionPath(v)+"/manifest")
+}
+
+// Chunk returns the bytes of one chunk.
+func (o *Origin) Chunk(ctx context.Context, v fulmardeal.Version, index int) ([]byte, error) {
+	return o.get(ctx, fmt.Sprintf("%s/chunks/%d", versionPath(v), index))
+}
+
+func (o *Origin) get(ctx context.Context, path string) ([]byte, error) {
+	a, err := o.service.do(ctx, fasthttp.MethodGet, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	return a.body, o.service.check(path, a)
+}
+
+// Directory speaks to the platform's list of instances.
+type Directory struct {
+	service *service
+}
+
+// NewDirectory returns the directory at base.
+func NewDirectory(base string) (*Directory, error) {
+	s, err := newService("directory", base)
+	if err != nil {
+		return nil, err
+	}
+	return &Directory{service: s}, nil
+}
+
+// List returns the instances that the platform knows.
+func (d *Directory) List(ctx context.Context) ([]fulmardeal.Instance, error) {
+	var list []fulmardeal.Instance
+	err := d.service.call(ctx, fasthttp.MethodGet, "/instances", nil, &list)
+	return list, err
+}
+
+// Announce tells the platform about this instance.
+func (d *Directory) Announce(ctx context.Context, in fulmardeal.Instance) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	return d.service.call(ctx, fasthttp.MethodPost, "/instances", body, nil)
+}
+
+// Unreachable is a log, an origin and a directory that are never reached. It
+// stands where a process has no such service in its settings.
+type Unreachable struct{}
+
+var errUnset = &StatusError{URL: "none", Status: 0, Body: "no address in the settings"}
+
+// Append fails.
+func (Unreachable) Append(context.Context, string, []byte) (fulmardeal.Offset, error) {
+	return 0, errUnset
+}
+
+// Read fails.
+func (Unreachable) Read(context.Context, string, fulmardeal.Offset, int) ([]fulmardeal.Record, error) {
+	return nil, errUnset
+}
+
+// Manifest fails.
+func (Unreachable) Manifest(context.Context, fulmardeal.Version) ([]byte, error) {
+	return nil, errUnset
+}
+
+// Chunk fails.
+func (Unreachable) Chunk(context.Context, fulmardeal.Version, int) ([]byte, error) {
+	return nil, errUnset
+}
+
+// slowCall is for calls that may take long by nature.
+const slowCall = 30 * time.Second
--- /dev/null
+++ b/internal/standin/endpoint/engine.go
@@ -0,0 +1,337 @@
+package endpoint
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/platform/adapter"
+)
+
+// Pace is how fast an engine answers when it is warm.
+type Pace struct {
+	First time.Duration // to the first token
+	Token time.Duration // between tokens
+	Load  time.Duration // to load weights
+}
+
+// EngineSettings describe a stand-in engine.
+type EngineSettings struct {
+	Strength    Strength
+	Pace        Pace
+	ChecksFence bool // refuses an order with an old fence
+}
+
+// Engine is a stand-in of a model engine with the store of weights beside it.
+type Engine struct {
+	*work
+	settings EngineSettings
+
+	state  sync.Mutex
+	store  map[fulmardeal.Version]map[int][]byte
+	active fulmardeal.Version
+	digest string
+	fence  int64
+}
+
+// NewEngine returns an engine that holds no weights.
+func NewEngine(s EngineSettings) *Engine {
+	return &Engine{
+		work:     newWork(s.Strength),
+		settings: s,
+		store:    make(map[fulmardeal.Version]map[int][]byte),
+	}
+}
+
+// Bounds of what the engine reads.
+const (
+	mostBody   = 8 << 20  // bytes
+	mostChunk  = 16 << 20 // bytes
+	mostTokens = 4096
+)
+
+// Handler serves the engine over HTTP.
+func (e *Engine) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /v1/chat/completions", e.complete)
+	m.HandleFunc("POST /v1/completions", e.complete)
+	m.HandleFunc("POST /cancel/{id}", func(_ http.ResponseWriter, r *http.Request) { e.cancel(r.PathValue("id")) })
+	m.HandleFunc("GET /load", e.load)
+	m.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Counts()) })
+	m.HandleFunc("POST /chill", func(http.ResponseWriter, *http.Request) { e.Chill() })
+	m.HandleFunc("GET /held", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.held()) })
+	m.HandleFunc("POST /order", e.order)
+	m.HandleFunc("GET /store/{model}/{version}", e.list)
+	m.HandleFunc("GET /store/{model}/{version}/{index}", e.get)
+	m.HandleFunc("PUT /store/{model}/{version}/{index}", e.put)
+	return m
+}
+
+// Message is one turn of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Completion is a request for text, of either kind.
+type Completion struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages,omitempty"`
+	Prompt    string    `json:"prompt,omitempty"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	Stream    bool      `json:"stream,omitempty"`
+}
+
+func (c Completion) text() string {
+	var b strings.Builder
+	b.WriteString(c.Prompt)
+	for _, m := range c.Messages {
+		b.WriteString(m.Content)
+	}
+	return b.String()
+}
+
+// Token returns the i-th token that weights with this digest give to a prompt.
+// A client that knows the digest can check every answer by it.
+func Token(digest, prompt string, i int) string {
+	sum := sha256.Sum256([]byte(digest + "|" + prompt + "|" + strconv.Itoa(i)))
+	return hex.EncodeToString(sum[:3]) + " "
+}
+
+// Choice is one answer, or a part of one.
+type Choice struct {
+	Index   int      `json:"index"`
+	Message *Message `json:"message,omitempty"`
+	Delta   *Message `json:"delta,omitempty"`
+	Text    string   `json:"text,omitempty"`
+	Finish  string   `json:"finish_reason,omitempty"`
+}
+
+// Completed is an answer, or one event of a streamed one.
+type Completed struct {
+	ID          string   `json:"id"`
+	Object      string   `json:"object"`
+	Model       string   `json:"model"`
+	Fingerprint string   `json:"system_fingerprint"`
+	Choices     []Choice `json:"choices"`
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var c Completion
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostBody)).Decode(&c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	c.MaxTokens = min(max(c.MaxTokens, 1), mostTokens)
+
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	id := r.Header.Get(adapter.HeaderAttempt)
+	if !e.begin(id, cancel) {
+		panic(http.ErrAbortHandler)
+	}
+	defer e.end(id)
+	if c.Stream {
+		e.stream(ctx, w, id, c)
+		return
+	}
+	e.whole(ctx, w, id, c)
+}
+
+// slowest is how much slower a cold engine is than a warm one.
+const slowest = 3.0
+
+// pause waits for d, longer while the engine is cold.
+func (e *Engine) pause(ctx context.Context, d time.Duration) bool {
+	d = time.Duration(float64(d) * (slowest - (slowest-1)*e.warmth()))
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (e *Engine) serving() (fulmardeal.Version, string) {
+	e.state.Lock()
+	defer e.state.Unlock()
+	return e.active, e.digest
+}
+
+func (e *Engine) whole(ctx context.Context, w http.ResponseWriter, id string, c Completion) {
+	var text strings.Builder
+	ok := e.pause(ctx, e.settings.Pace.First)
+	for i := 0; ok && i < c.MaxTokens; i++ {
+		_, digest := e.serving()
+		text.WriteString(Token(digest, c.text(), i))
+		ok = e.pause(ctx, e.settings.Pace.Token)
+	}
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	a := e.answer(id)
+	a.Object = "chat.completion"
+	a.Choices = []Choice{{Message: &Message{Role: "assistant", Content: text.String()}, Text: text.String(), Finish: "stop"}}
+	reply(w, a)
+}
+
+func (e *Engine) answer(id string) Completed {
+	version, digest := e.serving()
+	return Completed{ID: id, Model: version.String(), Fingerprint: digest}
+}
+
+func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, id string, c Completion) {
+	flush := http.NewResponseController(w)
+	w.Header().Set("Content-Type", "text/event-stream")
+	ok := e.pause(ctx, e.settings.Pace.First)
+	for i := 0; ok && i < c.MaxTokens; i++ {
+		a := e.answer(id)
+		a.Object = "chat.completion.chunk"
+		a.Choices = []Choice{{Delta: &Message{Content: Token(a.Fingerprint, c.text(), i)}}}
+		event(w, a)
+		if flush.Flush() != nil {
+			return
+		}
+		ok = e.pause(ctx, e.settings.Pace.Token)
+	}
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func event(w io.Writer, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(w, "data: %s\n\n", data)
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	r := adapter.LoadReport{Running: len(e.running), Boot: e.boot}
+	e.mu.Unlock()
+	reply(w, r)
+}
+
+func (e *Engine) held() adapter.HeldReport {
+	e.mu.Lock()
+	boot := e.boot
+	e.mu.Unlock()
+	e.state.Lock()
+	defer e.state.Unlock()
+	return adapter.HeldReport{Model: e.active.Model, Version: e.active.Name, Digest: e.digest, Fence: e.fence, Boot: boot}
+}
+
+// Digest returns the digest of the active weights.
+func (e *Engine) Digest() string {
+	_, d := e.serving()
+	return d
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o adapter.OrderMessage
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	time.Sleep(e.settings.Pace.Load)
+
+	e.state.Lock()
+	defer e.state.Unlock()
+	if o.Fence < e.fence {
+		e.count(func(c *Counts) { c.Stale++ })
+		if e.settings.ChecksFence {
+			http.Error(w, fmt.Sprintf("fence %d is older than %d", o.Fence, e.fence), http.StatusConflict)
+			return
+		}
+	}
+	v := fulmardeal.Version{Model: o.Model, Name: o.Version}
+	digest, whole := e.sum(v, o.Chunks)
+	if !whole || digest != o.Digest {
+		e.count(func(c *Counts) { c.Partial++ })
+	}
+	e.active, e.digest, e.fence = v, digest, max(e.fence, o.Fence)
+}
+
+func (e *Engine) count(f func(c *Counts)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(&e.counts)
+}
+
+// sum returns the SHA-256 of the stored chunks and whether none is missing.
+func (e *Engine) sum(v fulmardeal.Version, chunks int) (string, bool) {
+	h := sha256.New()
+	whole := true
+	for i := range chunks {
+		data, stored := e.store[v][i]
+		whole = whole && stored
+		h.Write(data)
+	}
+	return hex.EncodeToString(h.Sum(nil)), whole
+}
+
+func pathVersion(r *http.Request) fulmardeal.Version {
+	return fulmardeal.Version{Model: r.PathValue("model"), Name: r.PathValue("version")}
+}
+
+func (e *Engine) list(w http.ResponseWriter, r *http.Request) {
+	e.state.Lock()
+	out := []int{}
+	for i := range e.store[pathVersion(r)] {
+		out = append(out, i)
+	}
+	e.state.Unlock()
+	slices.Sort(out)
+	reply(w, out)
+}
+
+func (e *Engine) get(w http.ResponseWriter, r *http.Request) {
+	index, err := strconv.Atoi(r.PathValue("index"))
+	e.state.Lock()
+	data, stored := e.store[pathVersion(r)][index]
+	e.state.Unlock()
+	if err != nil || !stored {
+		http.Error(w, "not stored", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	// An error here means that the client has gone.
+	_, _ = w.Write(data)
+}
+
+func (e *Engine) put(w http.ResponseWriter, r *http.Request) {
+	index, err := strconv.Atoi(r.PathValue("index"))
+	data, err2 := io.ReadAll(http.MaxBytesReader(w, r.Body, mostChunk))
+	if err != nil || err2 != nil {
+		http.Error(w, "not a chunk", http.StatusBadRequest)
+		return
+	}
+	e.state.Lock()
+	defer e.state.Unlock()
+	v := pathVersion(r)
+	if e.store[v] == nil {
+		e.store[v] = make(map[int][]byte)
+	}
+	e.store[v][index] = data
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// An error here means that the client has gone.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/endpoint/service.go
@@ -0,0 +1,144 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"fulmardeal/internal/platform/adapter"
+	"fulmardeal/internal/weights/manifest"
+)
+
+// ServiceSettings describe a stand-in plain service.
+type ServiceSettings struct {
+	Strength Strength
+	Took     time.Duration // time that a call takes
+}
+
+// Service is a stand-in of a plain service. It runs every order that it gets,
+// and counts an order that it gets twice.
+type Service struct {
+	*work
+	settings ServiceSettings
+	ledger   *Ledger
+}
+
+// Ledger counts orders over all endpoints of a service.
+type Ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{runs: make(map[string]int)} }
+
+// run counts a run of an order and returns how many there have been.
+func (l *Ledger) run(order string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[order]++
+	return l.runs[order]
+}
+
+// Runs returns how often an order has run.
+func (l *Ledger) Runs(order string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[order]
+}
+
+// Doubled returns how many orders have run more than once.
+func (l *Ledger) Doubled() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.runs {
+		if r > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// NewService returns a service that writes its orders into ledger.
+func NewService(s ServiceSettings, ledger *Ledger) *Service {
+	return &Service{work: newWork(s.Strength), settings: s, ledger: ledger}
+}
+
+// Order is what a caller of the stand-in orders.
+type Order struct {
+	Order string `json:"order"`
+	Item  string `json:"item"`
+}
+
+// Ordered is the stand-in's answer.
+type Ordered struct {
+	Order string `json:"order"`
+	Body  string `json:"body"` // SHA-256 of the request's body, hex
+	Run   int    `json:"run"`  // how often this order has run
+}
+
+// Handler serves the service over HTTP.
+func (s *Service) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /cancel/{id}", func(_ http.ResponseWriter, r *http.Request) { s.cancel(r.PathValue("id")) })
+	m.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		l := adapter.LoadReport{Running: len(s.running), Boot: s.boot}
+		s.mu.Unlock()
+		reply(w, l)
+	})
+	m.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Counts()) })
+	m.HandleFunc("/", s.serve)
+	return m
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	id := r.Header.Get(adapter.HeaderAttempt)
+	if !s.begin(id, cancel) {
+		panic(http.ErrAbortHandler)
+	}
+	defer s.end(id)
+
+	if r.Method != http.MethodPost {
+		s.pause(ctx)
+		reply(w, Ordered{Body: r.URL.RequestURI()})
+		return
+	}
+	var o Order
+	if err := json.Unmarshal(body, &o); err != nil || o.Order == "" {
+		http.Error(w, "want an order in JSON", http.StatusBadRequest)
+		return
+	}
+	n := s.ledger.run(o.Order)
+	if n > 1 {
+		s.mu.Lock()
+		s.counts.Doubled++
+		s.mu.Unlock()
+	}
+	if !s.pause(ctx) {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, Ordered{Order: o.Order, Body: manifest.Sum(body), Run: n})
+}
+
+func (s *Service) pause(ctx context.Context) bool {
+	t := time.NewTimer(s.settings.Took)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/traffic/request/router.go
@@ -0,0 +1,231 @@
+package request
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/google/uuid"
+
+	"fulmardeal"
+	"fulmardeal/internal/link/connection"
+	"fulmardeal/internal/traffic/attempt"
+	"fulmardeal/internal/traffic/choice"
+)
+
+// Bounds of a request's attempts.
+const (
+	// mostTries bounds the endpoints that are asked for one request.
+	mostTries = 4
+
+	// leastRemaining is the time below which no further attempt is sent.
+	leastRemaining = 50 * time.Millisecond
+
+	// Repeats may be this part of the requests, with a little in hand.
+	repeatPart  = 0.05
+	repeatBurst = 20
+
+	defaultAfter = time.Second
+)
+
+// Router sends requests. It is safe for concurrent use.
+type Router struct {
+	chooser Chooser
+	pool    *connection.Pool
+	claims  Claimer
+	log     *slog.Logger
+	version func() fulmardeal.Offset
+	repeats repeats
+}
+
+// NewRouter returns a router. Version returns the configuration's version.
+func NewRouter(c Chooser, p *connection.Pool, k Claimer, version func() fulmardeal.Offset, log *slog.Logger) *Router {
+	return &Router{
+		chooser: c,
+		pool:    p,
+		claims:  k,
+		log:     log,
+		version: version,
+		repeats: repeats{have: repeatBurst},
+	}
+}
+
+// job is one request with what its attempts have taught.
+type job struct {
+	request Request
+	tried   []string
+	last    end
+	ran     attempt.Ran // RanUnknown once any attempt may have run
+	full    int
+	after   string // a proved not-run attempt that holds the key's claim
+}
+
+// Do sends the request and returns an answer that has begun, or a
+// *RefusedError. The context carries the deadline, and ends when the caller
+// hangs up.
+func (r *Router) Do(ctx context.Context, q Request) (*Reply, error) {
+	r.repeats.earn()
+	j := &job{request: q, ran: attempt.RanNo}
+	for range mostTries {
+		f, ok := r.prepare(j)
+		if !ok {
+			return nil, r.refuse(j)
+		}
+		reply, e := r.try(ctx, j, f)
+		if e == nil {
+			return reply, nil
+		}
+		r.land(f, e.ran != attempt.RanNo && q.Safe)
+		j.last = *e
+		if e.ran != attempt.RanNo {
+			j.ran = attempt.RanUnknown
+		}
+		if !r.learn(ctx, j, f, e) {
+			break
+		}
+	}
+	return nil, r.refuse(j)
+}
+
+// prepare picks the endpoint of the next attempt.
+func (r *Router) prepare(j *job) (*flight, bool) {
+	wish := j.wish()
+	in, ok := r.chooser.Pick(time.Now(), wish)
+	if !ok {
+		return nil, false
+	}
+	return &flight{id: uuid.NewString(), agent: in, client: r.pool.Client(in.Address)}, true
+}
+
+func (j *job) wish() choice.Wish {
+	q := j.request
+	return choice.Wish{Customer: q.Customer, Service: q.Service.Name(), Model: q.Model, Prefix: q.Prefix, Tried: j.tried}
+}
+
+// try sends one attempt and collects a plain answer whole.
+func (r *Router) try(ctx context.Context, j *job, f *flight) (*Reply, *end) {
+	if keyed(j.request) {
+		if e := r.claim(ctx, j, f); e != nil {
+			return nil, e
+		}
+	}
+
+	var piece attempt.Piece
+	var e *end
+	if f.followed {
+		piece, e = r.next(ctx, f)
+	} else {
+		piece, e = r.launch(ctx, f, r.task(ctx, j, f))
+	}
+	if e != nil {
+		return nil, e
+	}
+	if f.streamed() {
+		return &Reply{router: r, flight: f, piece: piece}, nil
+	}
+	return r.collect(ctx, f, piece)
+}
+
+// collect reads a plain answer to its end, so that nothing of one that breaks
+// off reaches the caller.
+func (r *Router) collect(ctx context.Context, f *flight, piece attempt.Piece) (*Reply, *end) {
+	data := piece.Data
+	for !piece.Done {
+		var e *end
+		piece, e = r.next(ctx, f)
+		if e != nil {
+			return nil, e
+		}
+		data = append(data, piece.Data...)
+	}
+	piece.Data = data
+	return &Reply{router: r, flight: f, piece: piece}, nil
+}
+
+func (r *Router) task(ctx context.Context, j *job, f *flight) attempt.Task {
+	q := j.request
+	remaining := q.Service.Deadline()
+	if d, ok := ctx.Deadline(); ok {
+		remaining = time.Until(d)
+	}
+	return attempt.Task{
+		ID:          f.id,
+		Incarnation: f.agent.Incarnation,
+		Version:     int64(r.version()),
+		Model:       q.Model,
+		Service:     q.Service.Name(),
+		Customer:    q.Customer.Name(),
+		Share:       q.Customer.Share(),
+		Method:      q.Method,
+		Path:        q.Path,
+		Header:      q.Header,
+		Body:        q.Body,
+		Priority:    q.Priority,
+		Remaining:   remaining,
+		Safe:        q.Safe,
+		Keyed:       keyed(q),
+	}
+}
+
+// learn tells the chooser how an attempt ended and reports whether another may
+// be sent.
+func (r *Router) learn(ctx context.Context, j *job, f *flight, e *end) bool {
+	now := time.Now()
+	j.tried = append(j.tried, f.agent.Incarnation)
+	switch {
+	case e.reason == attempt.ReasonFull || e.reason == attempt.ReasonShare:
+		j.full++
+		r.chooser.Full(now, f.agent.Incarnation, e.after)
+	case e.ran == attempt.RanNo && e.reason != "":
+		r.chooser.Failed(now, f.agent.Incarnation)
+	case e.cause == CauseFailed || e.cause == CauseLost:
+		r.chooser.Failed(now, f.agent.Incarnation)
+	}
+
+	if !enough(ctx) {
+		return false
+	}
+	if e.ran == attempt.RanNo {
+		return e.cause != CauseClaim && e.cause != CauseKey
+	}
+	if !j.request.Safe || e.cause == CauseLate || e.cause == CauseForgone || e.fault == attempt.FaultLarge {
+		return false
+	}
+	if !r.repeats.spend() {
+		j.last.cause = CauseSpent
+		return false
+	}
+	return true
+}
+
+func enough(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	d, ok := ctx.Deadline()
+	return !ok || time.Until(d) > leastRemaining
+}
+
+// refuse makes the final answer of a request that is given up.
+func (r *Router) refuse(j *job) *RefusedError {
+	e := &RefusedError{Cause: j.last.cause, Ran: j.ran, After: j.last.after, Last: j.last.reason}
+	if e.After == 0 {
+		e.After = defaultAfter
+	}
+	if e.Cause != "" {
+		return e
+	}
+
+	known, allowed := r.chooser.Known(j.wish())
+	switch {
+	case j.full > 0:
+		e.Cause = CauseFull
+	case known && !allowed:
+		e.Cause = CauseDenied
+	case len(j.tried) == 0:
+		e.Cause = CauseNone
+	default:
+		e.Cause = CauseFailed
+	}
+	return e
+}
