--- a/internal/fleet/configuration/configuration.go
+++ b/internal/fleet/configuration/configuration.go
@@ -243,6 +243,20 @@
 	return c.models[i], true
 }
 
+// ServiceOf returns the service whose endpoints hold a model.
+func (c *Configuration) ServiceOf(m Model) (Service, bool) {
+	placed := m.at.Only("datacentre", "region", "service")
+	for _, s := range c.services {
+		for _, d := range c.dataCentres {
+			set := label.NewSet().With("datacentre", d.name).With("region", d.region).With("service", s.name)
+			if s.IsModel() && placed.Matches(set) {
+				return s, true
+			}
+		}
+	}
+	return Service{}, false
+}
+
 // Customers returns the customers sorted by name.
 func (c *Configuration) Customers() []Customer { return c.customers }
 
--- /dev/null
+++ b/internal/fleet/configuration/reader.go
@@ -0,0 +1,56 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+
+	"fulmardeal"
+)
+
+// Stream is the log stream of the configuration.
+const Stream = "configuration"
+
+// pageSize is how many records one read asks for.
+const pageSize = 500
+
+// ReadLog brings a store up to the end of the log's stream. When the records
+// that the store needs have expired, it begins at the newest snapshot.
+func ReadLog(ctx context.Context, l fulmardeal.Log, s *Store) error {
+	for {
+		records, err := l.Read(ctx, Stream, s.Version()+1, pageSize)
+		var trimmed *fulmardeal.TrimmedError
+		if errors.As(err, &trimmed) {
+			return readSnapshot(ctx, l, s, trimmed.First)
+		}
+		if err != nil {
+			return err
+		}
+		if len(records) == 0 {
+			return nil
+		}
+		s.Absorb(Update{Records: records})
+	}
+}
+
+// readSnapshot reads all that the log still keeps.
+func readSnapshot(ctx context.Context, l fulmardeal.Log, s *Store, first fulmardeal.Offset) error {
+	var all []fulmardeal.Record
+	for from := first; ; {
+		records, err := l.Read(ctx, Stream, from, pageSize)
+		if err != nil {
+			return err
+		}
+		if len(records) == 0 {
+			break
+		}
+		all = append(all, records...)
+		from = records[len(records)-1].Offset + 1
+	}
+
+	before := s.Version()
+	s.Absorb(Start(all))
+	if s.Version() == before {
+		return &fulmardeal.TrimmedError{Stream: Stream, First: first}
+	}
+	return nil
+}
--- a/internal/fleet/configuration/state.go
+++ b/internal/fleet/configuration/state.go
@@ -18,6 +18,7 @@
 	offset   fulmardeal.Offset
 	accepted bool
 	reason   string // why it was refused
+	snapshot bool
 }
 
 // ID returns the record's id, empty when the record could not be read.
@@ -62,7 +63,7 @@
 		return next, v
 	}
 	if e.Snapshot != nil {
-		v.accepted = true
+		v.accepted, v.snapshot = true, true
 		return next, v
 	}
 
--- a/internal/fleet/configuration/store.go
+++ b/internal/fleet/configuration/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"fulmardeal"
 	"fulmardeal/internal/proof/invariant"
@@ -34,6 +35,10 @@
 	tail     []fulmardeal.Record // the last folded records, in order
 	verdicts []Verdict           // of the last folded records, in order
 	watchers []func(*Configuration)
+
+	// The oldest record that no snapshot in the stream covers.
+	uncovered      fulmardeal.Offset
+	uncoveredSince time.Time
 }
 
 // NewStore returns a store that reports broken invariants to book.
@@ -117,6 +122,7 @@
 	}
 	s.state = st
 	s.tail = nil
+	s.uncovered = 0
 }
 
 func (s *Store) foldAll(records []fulmardeal.Record) bool {
@@ -136,12 +142,35 @@
 	next, v := s.state.Fold(r)
 	s.state = next
 	s.tail = appendBounded(s.tail, r)
+	s.cover(r, v.snapshot)
 	s.verdicts = append(s.verdicts, v)
 	if len(s.verdicts) > mostVerdicts {
 		s.verdicts = s.verdicts[len(s.verdicts)-mostVerdicts:]
 	}
 }
 
+// cover notes which records a reader would need besides the last snapshot.
+func (s *Store) cover(r fulmardeal.Record, snapshot bool) {
+	if snapshot {
+		s.uncovered = 0
+		return
+	}
+	if s.uncovered == 0 {
+		s.uncovered, s.uncoveredSince = r.Offset, r.Time
+	}
+}
+
+// SnapshotDue reports whether the stream needs a new snapshot: many records, or
+// an old one, have come since the last.
+func (s *Store) SnapshotDue(now time.Time, records int, age time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.uncovered == 0 {
+		return false
+	}
+	return int(s.state.version-s.uncovered) >= records || now.Sub(s.uncoveredSince) > age
+}
+
 func appendBounded(tail []fulmardeal.Record, r fulmardeal.Record) []fulmardeal.Record {
 	tail = append(tail, r)
 	if len(tail) > mostTail {
--- a/internal/link/connection/connection.go
+++ b/internal/link/connection/connection.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fulmardeal"
@@ -78,11 +79,25 @@
 // session is one connection.
 type session struct {
 	rpc  *rpc.Client
-	conn net.Conn
+	conn *counted
 	stop chan struct{}
 	once sync.Once
 }
 
+// counted counts the reads that brought something.
+type counted struct {
+	net.Conn
+	reads atomic.Int64
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.reads.Add(1)
+	}
+	return n, err
+}
+
 func (s *session) close() {
 	s.once.Do(func() {
 		close(s.stop)
@@ -191,7 +206,8 @@
 		conn.Close()
 		return c.current, nil
 	}
-	s := &session{rpc: rpc.NewClient(conn), conn: conn, stop: make(chan struct{})}
+	n := &counted{Conn: conn}
+	s := &session{rpc: rpc.NewClient(n), conn: n, stop: make(chan struct{})}
 	c.current = s
 	go c.heartbeat(s)
 	return s, nil
@@ -225,7 +241,10 @@
 	return now.Sub(c.lastCall) < idleEvery
 }
 
+// ping reports whether the other end is there: it answers, or bytes of a large
+// answer keep arriving, behind which the ping's own has to wait.
 func (s *session) ping() bool {
+	before := s.conn.reads.Load()
 	// The write itself can block on a silent connection, so it has its own
 	// goroutine, which ends when the connection is closed.
 	done := make(chan error, 1)
@@ -237,7 +256,7 @@
 	case err := <-done:
 		return err == nil
 	case <-t.C:
-		return false
+		return s.conn.reads.Load() > before
 	case <-s.stop:
 		return false
 	}
--- a/internal/link/connection/server.go
+++ b/internal/link/connection/server.go
@@ -93,6 +93,9 @@
 	}
 }
 
+// Stop makes Serve return and closes every connection.
+func (s *Server) Stop() { s.close() }
+
 func (s *Server) close() {
 	s.mu.Lock()
 	s.closed = true
--- /dev/null
+++ b/internal/process/entry/handle.go
@@ -0,0 +1,336 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"fulmardeal"
+	"fulmardeal/internal/fleet/configuration"
+	"fulmardeal/internal/traffic/attempt"
+	"fulmardeal/internal/traffic/request"
+)
+
+// Headers towards callers.
+const (
+	HeaderRan      = attempt.HeaderRan     // whether a refused request has run
+	HeaderCause    = "Fulmardeal-Cause"    // one word on why it was refused
+	HeaderEndpoint = "Fulmardeal-Endpoint" // the endpoint that answered
+	HeaderTimeout  = "Fulmardeal-Timeout"  // the caller's deadline, such as 2.5s
+	HeaderKey      = "Idempotency-Key"     // see the IETF draft of that name
+	statusHungUp   = 499                   // usual for a caller that went away
+	mostDeadline   = 10 * time.Minute
+)
+
+// badRequest is a request that is faulty itself.
+type badRequest struct {
+	status int
+	reason string
+}
+
+func (e *badRequest) Error() string { return e.reason }
+
+// handle takes one request from a caller.
+func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
+	begun := time.Now()
+	switch string(ctx.Path()) {
+	case "/-/live":
+		ctx.SetStatusCode(fasthttp.StatusOK)
+		return
+	case "/-/ready":
+		e.answerReady(ctx)
+		return
+	}
+
+	q, err := e.read(ctx)
+	if err != nil {
+		e.refuse(ctx, err)
+		return
+	}
+	if after, ok := e.budgets.spend(begun, q.Customer); !ok {
+		e.refuse(ctx, &request.RefusedError{Cause: request.CauseRate, Ran: attempt.RanNo, After: after})
+		return
+	}
+
+	limit, err := deadline(ctx, q.Service)
+	if err != nil {
+		e.refuse(ctx, err)
+		return
+	}
+	work, cancel := context.WithTimeout(context.Background(), limit)
+	reply, err := e.router.Do(work, q)
+	if err != nil {
+		cancel()
+		e.refuse(ctx, err)
+		return
+	}
+	e.stats.began(time.Since(begun))
+	e.answer(ctx, work, cancel, reply)
+}
+
+func (e *Entry) answerReady(ctx *fasthttp.RequestCtx) {
+	ready, reason := e.node.Ready()
+	if !ready {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+	ctx.SetBodyString(reason)
+}
+
+// read makes a checked request of what the caller sent.
+func (e *Entry) read(ctx *fasthttp.RequestCtx) (request.Request, error) {
+	c := e.node.Store().Current()
+	if c == nil {
+		return request.Request{}, &request.RefusedError{Cause: request.CauseUnready, Ran: attempt.RanNo, After: time.Second}
+	}
+	customer, err := authenticate(ctx, c)
+	if err != nil {
+		return request.Request{}, err
+	}
+
+	q := request.Request{
+		Customer: customer,
+		Method:   string(ctx.Method()),
+		Path:     string(ctx.RequestURI()),
+		Header:   headers(ctx),
+		Body:     append([]byte(nil), ctx.PostBody()...),
+		Key:      strings.Trim(string(ctx.Request.Header.Peek(HeaderKey)), `"`),
+		Priority: priority(customer),
+	}
+	switch string(ctx.Path()) {
+	case "/v1/chat/completions", "/v1/completions":
+		return completion(c, q)
+	}
+	return plain(c, q, string(ctx.Path()))
+}
+
+func authenticate(ctx *fasthttp.RequestCtx, c *configuration.Configuration) (configuration.Customer, error) {
+	key, found := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	if found {
+		if x, known := c.Authenticate(key); known {
+			return x, nil
+		}
+	}
+	return configuration.Customer{}, &badRequest{status: fasthttp.StatusUnauthorized, reason: "the bearer key is missing or unknown"}
+}
+
+// priority returns a customer's priority from its label, 0 when it has none.
+func priority(c configuration.Customer) int {
+	v, _ := c.Labels().Get("priority")
+	n, _ := strconv.Atoi(v)
+	return n
+}
+
+// prompt is what an entry reads of a completion request; the rest is the
+// engine's.
+type prompt struct {
+	Model    string `json:"model"`
+	Prompt   json.RawMessage
+	Messages []struct {
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+}
+
+// mostPrefix is how much of the first message tells cached prefixes apart.
+const mostPrefix = 512
+
+// completion completes a request to a model.
+func completion(c *configuration.Configuration, q request.Request) (request.Request, error) {
+	var p prompt
+	if q.Method != fasthttp.MethodPost {
+		return q, &badRequest{status: fasthttp.StatusMethodNotAllowed, reason: "completions are asked for with POST"}
+	}
+	if err := json.Unmarshal(q.Body, &p); err != nil {
+		return q, &badRequest{status: fasthttp.StatusBadRequest, reason: "the body is not the JSON of a completion: " + err.Error()}
+	}
+	m, known := c.Model(p.Model)
+	if !known {
+		return q, &badRequest{status: fasthttp.StatusNotFound, reason: fmt.Sprintf("no model is called %q", p.Model)}
+	}
+	s, known := c.ServiceOf(m)
+	if !known {
+		return q, &badRequest{status: fasthttp.StatusNotFound, reason: fmt.Sprintf("no service holds the model %q", p.Model)}
+	}
+
+	q.Service = s
+	q.Model = p.Model
+	q.Safe = true
+	first := p.Prompt
+	if len(p.Messages) > 0 {
+		first = p.Messages[0].Content
+	}
+	q.Prefix = p.Model + string(first[:min(len(first), mostPrefix)])
+	return q, nil
+}
+
+// plain completes a request to a plain service: the first part of the path is
+// its name.
+func plain(c *configuration.Configuration, q request.Request, path string) (request.Request, error) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	s, known := c.Service(name)
+	if !known || s.IsModel() {
+		return q, &badRequest{status: fasthttp.StatusNotFound, reason: fmt.Sprintf("no plain service is called %q", name)}
+	}
+	q.Service = s
+	switch q.Method {
+	case fasthttp.MethodGet, fasthttp.MethodHead, fasthttp.MethodOptions:
+		q.Safe = true
+	}
+	return q, nil
+}
+
+// headers returns the header fields that are passed on to the endpoint.
+func headers(ctx *fasthttp.RequestCtx) []fulmardeal.Field {
+	var out []fulmardeal.Field
+	for k, v := range ctx.Request.Header.All() {
+		switch strings.ToLower(string(k)) {
+		case "authorization", "connection", "host", "content-length", "transfer-encoding", "keep-alive",
+			"te", "trailer", "upgrade", "proxy-connection", "expect", "accept-encoding":
+			continue
+		}
+		out = append(out, fulmardeal.Field{Name: string(k), Value: string(v)})
+	}
+	return out
+}
+
+// deadline returns the time that the request has: the caller's, or else the
+// service's.
+func deadline(ctx *fasthttp.RequestCtx, s configuration.Service) (time.Duration, error) {
+	text := string(ctx.Request.Header.Peek(HeaderTimeout))
+	if text == "" {
+		return s.Deadline(), nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 || d > mostDeadline {
+		reason := fmt.Sprintf("%s %q is not a time of up to %v, such as 2.5s", HeaderTimeout, text, mostDeadline)
+		return 0, &badRequest{status: fasthttp.StatusBadRequest, reason: reason}
+	}
+	return d, nil
+}
+
+// answer hands a reply on. A stream goes on after the handler has returned.
+func (e *Entry) answer(ctx *fasthttp.RequestCtx, work context.Context, cancel context.CancelFunc, r *request.Reply) {
+	ctx.SetStatusCode(r.Status())
+	for _, f := range r.Header() {
+		ctx.Response.Header.Set(f.Name, f.Value)
+	}
+	ctx.Response.Header.Set(HeaderEndpoint, r.Endpoint().Name)
+	if !r.Streamed() {
+		ctx.SetBody(r.Data())
+		r.Close()
+		cancel()
+		e.stats.count(func(c *Counts) { c.Whole++ })
+		return
+	}
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer cancel()
+		defer r.Close()
+		e.stream(work, w, r)
+	})
+}
+
+// stream hands on a stream piece by piece. A caller that has hung up ends it,
+// and so does a stream that breaks: with an error in place of its end mark.
+func (e *Entry) stream(ctx context.Context, w *bufio.Writer, r *request.Reply) {
+	for {
+		// A bufio.Writer keeps its first error until Flush.
+		_, _ = w.Write(r.Data())
+		if w.Flush() != nil {
+			e.stats.count(func(c *Counts) { c.Broken++ })
+			return
+		}
+		if r.Done() {
+			e.stats.count(func(c *Counts) { c.Whole++ })
+			return
+		}
+		if err := r.Next(ctx); err != nil {
+			e.stats.count(func(c *Counts) { c.Broken++ })
+			fmt.Fprintf(w, "\n\ndata: %s\n\n", problem("broken", err.Error()))
+			_ = w.Flush() // nobody is left to tell
+			return
+		}
+	}
+}
+
+// errorBody is the usual shape of an error in JSON.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+}
+
+func problem(kind, message string) []byte {
+	data, err := json.Marshal(errorBody{Error: errorDetail{Message: message, Type: kind}})
+	if err != nil {
+		return []byte(`{}`)
+	}
+	return data
+}
+
+// refuse gives the final answer to a request that is not served.
+func (e *Entry) refuse(ctx *fasthttp.RequestCtx, err error) {
+	ctx.SetContentType("application/json")
+	var bad *badRequest
+	if errors.As(err, &bad) {
+		e.stats.count(func(c *Counts) { c.Bad++ })
+		ctx.SetStatusCode(bad.status)
+		ctx.Response.Header.Set(HeaderRan, string(attempt.RanNo))
+		ctx.SetBody(problem("request", bad.reason))
+		return
+	}
+
+	var refused *request.RefusedError
+	if !errors.As(err, &refused) {
+		refused = &request.RefusedError{Cause: request.CauseFailed, Ran: attempt.RanUnknown, After: time.Second}
+	}
+	e.stats.refused(refused.Ran)
+	ctx.SetStatusCode(status(refused))
+	seconds := int(math.Ceil(refused.After.Seconds()))
+	ctx.Response.Header.Set("Retry-After", strconv.Itoa(max(1, seconds)))
+	ctx.Response.Header.Set(HeaderRan, string(refused.Ran))
+	ctx.Response.Header.Set(HeaderCause, string(refused.Cause))
+	ctx.SetBody(problem(string(refused.Cause), refused.Error()))
+}
+
+func status(e *request.RefusedError) int {
+	switch e.Cause {
+	case request.CauseRate:
+		return fasthttp.StatusTooManyRequests
+	case request.CauseLate:
+		return fasthttp.StatusGatewayTimeout
+	case request.CauseKey:
+		return fasthttp.StatusUnprocessableEntity
+	case request.CauseDenied:
+		return fasthttp.StatusForbidden
+	case request.CauseForgone:
+		return statusHungUp
+	}
+	if e.Ran == attempt.RanNo {
+		return fasthttp.StatusServiceUnavailable
+	}
+	return fasthttp.StatusBadGateway
+}
+
+// refuseUnreadable answers a request that could not be read at all.
+func (e *Entry) refuseUnreadable(ctx *fasthttp.RequestCtx, err error) {
+	bad := &badRequest{status: fasthttp.StatusBadRequest, reason: "the request can't be read: " + err.Error()}
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		bad = &badRequest{status: fasthttp.StatusRequestEntityTooLarge, reason: fmt.Sprintf("the body is over %d bytes", mostBody)}
+	case errors.As(err, &small):
+		bad = &badRequest{status: fasthttp.StatusRequestHeaderFieldsTooLarge, reason: fmt.Sprintf("the header is over %d bytes", mostHeader)}
+	}
+	ctx.SetConnectionClose()
+	e.refuse(ctx, bad)
+}
--- /dev/null
+++ b/internal/process/local/progress.go
@@ -0,0 +1,64 @@
+package local
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// progress shows how far the weights are in each data centre: in place on a
+// terminal, as lines elsewhere.
+type progress struct {
+	system *System
+	job    Job
+	shown  time.Time
+	lines  int
+}
+
+func newProgress(x *System, j Job) *progress { return &progress{system: x, job: j} }
+
+// show prints the present state, at most twice a second.
+func (p *progress) show(now time.Time) {
+	if now.Sub(p.shown) < progressWait {
+		return
+	}
+	p.shown = now
+	if p.job.Live && p.lines > 0 {
+		fmt.Fprintf(p.job.Out, "\x1b[%dA", p.lines)
+	}
+	p.lines = 0
+	for _, d := range p.system.settings.Configuration.DataCentre {
+		fmt.Fprintf(p.job.Out, "%s\n", p.line(d.Name))
+		p.lines++
+	}
+}
+
+// barWidth is the width of a full bar, in characters.
+const barWidth = 30
+
+func (p *progress) line(dataCentre string) string {
+	held, chunks, ready, all := 0, 0, 0, 0
+	for _, m := range p.system.Agents() {
+		if m.Engine == nil || m.DataCentre != dataCentre {
+			continue
+		}
+		all++
+		h, c := m.Agent.Chunks()
+		held += h
+		chunks += c
+		if !m.Agent.Node().Members().Self().Serving.Zero() {
+			ready++
+		}
+	}
+	full := 0
+	if chunks > 0 {
+		full = barWidth * held / chunks
+	}
+	bar := strings.Repeat("#", full) + strings.Repeat(".", barWidth-full)
+	return fmt.Sprintf("%-14s [%s] %5d of %5d chunks, %d of %d serve", dataCentre, bar, held, chunks, ready, all)
+}
+
+func (p *progress) end() {
+	p.shown = time.Time{}
+	p.show(time.Now())
+}
--- /dev/null
+++ b/internal/process/node/platform.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/fleet/configuration"
+	"fulmardeal/internal/fleet/membership"
+)
+
+// Bounds of a node's use of the log.
+const (
+	readers = 2 // processes of a data centre that read the log
+
+	// A process that isn't a reader looks at the log only when it has heard
+	// no peer for so long.
+	lonelyAfter = 5 * time.Second
+
+	// snapshotAfter is the number of records after which, and snapshotAge the
+	// age at which, the state is written anew. The log keeps records for
+	// days; the age leaves room for many failed tries.
+	snapshotAfter = 1000
+	snapshotAge   = time.Hour
+)
+
+func (n *Node) announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	if err := n.options.Directory.Announce(ctx, n.Instance()); err != nil {
+		n.log.Debug("not announced", "err", err)
+	}
+}
+
+// list joins the platform's list of instances, and joins the others through
+// one of them when this process has just started.
+func (n *Node) list(ctx context.Context) {
+	first := len(n.members.Some(1)) == 0
+	listCtx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	all, err := n.options.Directory.List(listCtx)
+	if err != nil {
+		n.log.Debug("instances not listed", "err", err)
+		return
+	}
+	n.members.Listed(time.Now(), all)
+	if !first && n.store.Version() > 0 {
+		return
+	}
+	for _, in := range n.members.Some(fanout) {
+		n.join(ctx, in)
+		if n.store.Version() > 0 {
+			return
+		}
+	}
+}
+
+// read reads the log when this process is one of its data centre's readers, or
+// hears nobody who could be.
+func (n *Node) read(ctx context.Context) {
+	if !n.reader() {
+		return
+	}
+	n.fetch(ctx)
+	n.snapshot(ctx)
+}
+
+func (n *Node) reader() bool {
+	if n.store.Version() == 0 {
+		return true
+	}
+	silent, known := n.members.Silent(time.Now())
+	if !known || silent > lonelyAfter {
+		return true
+	}
+	return n.isReader(n.options.Settings.Name)
+}
+
+// isReader reports whether a process is one of this data centre's readers of
+// the log.
+func (n *Node) isReader(name string) bool {
+	rank := n.rank("log", name, func(in fulmardeal.Instance) bool {
+		return in.DataCentre == n.options.Settings.DataCentre
+	})
+	return rank >= 0 && rank < readers
+}
+
+// rank returns a process's place for a job among the members that match.
+func (n *Node) rank(job, name string, match func(fulmardeal.Instance) bool) int {
+	var names []string
+	for _, m := range n.members.Members() {
+		if m.State() == membership.Alive && match(m.Instance()) {
+			names = append(names, m.Instance().Name)
+		}
+	}
+	return membership.Rank(job, name, names)
+}
+
+// fetch reads what the log has after the version in force.
+func (n *Node) fetch(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	begun := time.Now()
+	err := configuration.ReadLog(ctx, n.options.Log, n.store)
+	var trimmed *fulmardeal.TrimmedError
+	expired := errors.As(err, &trimmed)
+	n.noteLog(err, expired)
+	if err == nil {
+		n.confirm(begun)
+	}
+}
+
+func (n *Node) noteLog(err error, expired bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	down := err != nil && !expired
+	if down != n.logDown {
+		n.log.Warn("log reading changed", "down", down, "err", err)
+	}
+	n.logDown, n.expired = down, expired
+}
+
+// snapshot writes the state into the stream well before its records expire.
+// The first candidate of all processes does it; a second one does no harm.
+func (n *Node) snapshot(ctx context.Context) {
+	if !n.store.SnapshotDue(time.Now(), snapshotAfter, snapshotAge) {
+		return
+	}
+	if n.rank("snapshot", n.options.Settings.Name, func(fulmardeal.Instance) bool { return true }) != 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	body := n.store.State().Canonical()
+	if _, err := n.options.Log.Append(ctx, configuration.Stream, body); err != nil {
+		n.log.Warn("snapshot not written", "err", err)
+	}
+}
--- a/internal/standin/endpoint/body.go
+++ b/internal/standin/endpoint/body.go
@@ -35,6 +35,7 @@
 
 	mu      sync.Mutex
 	counts  Counts
+	last    time.Time // when the last run began
 	boot    string
 	booted  time.Time
 	running map[string]func() // cancels by attempt id
@@ -77,6 +78,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.counts.Runs++
+	w.last = time.Now()
 	bears := w.bears(time.Now())
 	w.running[id] = cancel
 	if len(w.running) <= bears {
@@ -130,6 +132,13 @@
 	w.restart()
 }
 
+// Last returns when the last run began.
+func (w *work) Last() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.last
+}
+
 // Running returns the number of runs in progress.
 func (w *work) Running() int {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/standin/network/memory.go
@@ -0,0 +1,94 @@
+package network
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+)
+
+// Memory is a transport inside one process, without sockets, for tests under
+// virtual time. Addresses are names. The zero value is ready to use.
+type Memory struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	next      int
+}
+
+var errRefused = errors.New("connection refused")
+
+// Dial opens a connection.
+func (m *Memory) Dial(ctx context.Context, address string) (net.Conn, error) {
+	m.mu.Lock()
+	l, known := m.listeners[address]
+	m.mu.Unlock()
+	if !known {
+		return nil, errRefused
+	}
+	near, far := net.Pipe()
+	select {
+	case l.accept <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, errRefused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Listen opens a listener. An address that ends with :0 gets a number.
+func (m *Memory) Listen(address string) (net.Listener, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.listeners == nil {
+		m.listeners = make(map[string]*listener)
+	}
+	if host, port, err := net.SplitHostPort(address); err == nil && port == "0" {
+		m.next++
+		address = fmt.Sprintf("%s:%d", host, m.next)
+	}
+	if _, taken := m.listeners[address]; taken {
+		return nil, fmt.Errorf("address %s is in use", address)
+	}
+	l := &listener{memory: m, address: address, accept: make(chan net.Conn), closed: make(chan struct{})}
+	m.listeners[address] = l
+	return l, nil
+}
+
+// listener accepts the connections to one address.
+type listener struct {
+	memory  *Memory
+	address string
+	accept  chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.memory.mu.Lock()
+		delete(l.memory.listeners, l.address)
+		l.memory.mu.Unlock()
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return address(l.address) }
+
+// address is the name of a listener.
+type address string
+
+func (address) Network() string { return "memory" }
+
+func (a address) String() string { return string(a) }
--- a/internal/standin/platform/origin.go
+++ b/internal/standin/platform/origin.go
@@ -18,6 +18,7 @@
 // model is one published version.
 type model struct {
 	manifest []byte
+	digest   string // of all bytes
 	chunks   [][]byte
 }
 
@@ -52,13 +53,28 @@
 	if err != nil {
 		return "", err
 	}
-	m.manifest = data
+	parsed, err := manifest.Parse(v, manifest.Sum(data), data)
+	if err != nil {
+		return "", err
+	}
+	m.manifest, m.digest = data, parsed.Digest()
 	o.state.Lock()
 	defer o.state.Unlock()
 	o.models[v] = m
 	return manifest.Sum(data), nil
 }
 
+// Digests returns the digests of the published weights.
+func (o *Origin) Digests() []string {
+	o.state.Lock()
+	defer o.state.Unlock()
+	var out []string
+	for _, m := range o.models {
+		out = append(out, m.digest)
+	}
+	return out
+}
+
 // Drawn returns the bytes of chunks that have been sent.
 func (o *Origin) Drawn() int64 {
 	o.state.Lock()
--- a/internal/traffic/attempt/run.go
+++ b/internal/traffic/attempt/run.go
@@ -51,7 +51,7 @@
 // call runs the attempt under one set of weights: the version is read before
 // and after, and a change in between spoils the answer.
 func (t *Table) call(ctx context.Context, a *attempt) (Fault, *Refusal) {
-	before, mark, err := t.guard.Serving(ctx)
+	before, digest, err := t.guard.Serving(ctx)
 	if err != nil {
 		return FaultNone, &Refusal{Reason: ReasonUnsent}
 	}
@@ -75,7 +75,7 @@
 		return fault, nil
 	}
 	after, again, err := t.guard.Serving(ctx)
-	if err != nil || after != before || again != mark {
+	if err != nil || after != before || again != digest {
 		return FaultMixed, nil
 	}
 	return FaultNone, nil
--- a/internal/traffic/attempt/table.go
+++ b/internal/traffic/attempt/table.go
@@ -42,9 +42,9 @@
 	// Refuse returns why the attempt may not start, or nil.
 	Refuse(t Task) *Refusal
 
-	// Serving returns the weights that the endpoint serves now, with a number
-	// that changes at every change. Plain services have the zero version.
-	Serving(ctx context.Context) (fulmardeal.Version, int64, error)
+	// Serving returns the weights that the endpoint serves now, with their
+	// digest. Plain services have the zero version.
+	Serving(ctx context.Context) (v fulmardeal.Version, digest string, err error)
 }
 
 // Table holds the attempts of one agent. It is safe for concurrent use.
--- a/internal/traffic/choice/table.go
+++ b/internal/traffic/choice/table.go
@@ -81,9 +81,15 @@
 type Wish struct {
 	Customer configuration.Customer
 	Service  string
-	Model    fulmardeal.Version // zero for plain services
-	Prefix   string             // requests with the same prefix share a cache
-	Tried    []string           // incarnations that have been tried
+	Model    string   // the model's name, empty for plain services
+	Prefix   string   // requests with the same prefix share a cache
+	Tried    []string // incarnations that have been tried
+}
+
+// Pick is a chosen endpoint, with the weights that it served when chosen.
+type Pick struct {
+	Instance fulmardeal.Instance
+	Serving  fulmardeal.Version
 }
 
 // Table is an entry's view of the endpoints. It is safe for concurrent use.
@@ -146,12 +152,12 @@
 
 // Pick returns the endpoint to try next and counts the request towards it; End
 // must follow. It reports false when there is no candidate.
-func (t *Table) Pick(now time.Time, w Wish) (fulmardeal.Instance, bool) {
+func (t *Table) Pick(now time.Time, w Wish) (Pick, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	candidates := t.candidates(now, w)
 	if len(candidates) == 0 {
-		return fulmardeal.Instance{}, false
+		return Pick{}, false
 	}
 
 	var e *endpoint
@@ -165,7 +171,7 @@
 	}
 	e.own++
 	e.since++
-	return e.instance, true
+	return Pick{Instance: e.instance, Serving: e.serving}, true
 }
 
 // candidates returns the endpoints that may take the request, without those
@@ -189,7 +195,7 @@
 }
 
 func (t *Table) suits(e *endpoint, w Wish) bool {
-	if e.instance.Service != w.Service || e.serving != w.Model || e.instance.Leaving {
+	if e.instance.Service != w.Service || e.serving.Model != w.Model || e.instance.Leaving {
 		return false
 	}
 	if t.config == nil || t.config.IsOut(e.instance.DataCentre) {
--- a/internal/traffic/request/flight.go
+++ b/internal/traffic/request/flight.go
@@ -25,6 +25,7 @@
 type flight struct {
 	id       string
 	agent    fulmardeal.Instance
+	pinned   fulmardeal.Version // the weights that must answer
 	client   *connection.Client
 	sent     time.Time
 	offset   int64
--- a/internal/traffic/request/request.go
+++ b/internal/traffic/request/request.go
@@ -24,7 +24,7 @@
 type Request struct {
 	Customer configuration.Customer
 	Service  configuration.Service
-	Model    fulmardeal.Version // zero for plain services
+	Model    string // the model's name, empty for plain services
 	Method   string
 	Path     string
 	Header   []fulmardeal.Field
@@ -124,7 +124,7 @@
 
 // Chooser picks endpoints and learns from what became of it.
 type Chooser interface {
-	Pick(now time.Time, w choice.Wish) (fulmardeal.Instance, bool)
+	Pick(now time.Time, w choice.Wish) (choice.Pick, bool)
 	Known(w choice.Wish) (known, allowed bool)
 	Heard(now time.Time, incarnation string, r attempt.Room)
 	Full(now time.Time, incarnation string, after time.Duration)
--- a/internal/traffic/request/router.go
+++ b/internal/traffic/request/router.go
@@ -90,11 +90,12 @@
 // prepare picks the endpoint of the next attempt.
 func (r *Router) prepare(j *job) (*flight, bool) {
 	wish := j.wish()
-	in, ok := r.chooser.Pick(time.Now(), wish)
+	p, ok := r.chooser.Pick(time.Now(), wish)
 	if !ok {
 		return nil, false
 	}
-	return &flight{id: uuid.NewString(), agent: in, client: r.pool.Client(in.Address)}, true
+	in := p.Instance
+	return &flight{id: uuid.NewString(), agent: in, pinned: p.Serving, client: r.pool.Client(in.Address)}, true
 }
 
 func (j *job) wish() choice.Wish {
@@ -152,7 +153,7 @@
 		ID:          f.id,
 		Incarnation: f.agent.Incarnation,
 		Version:     int64(r.version()),
-		Model:       q.Model,
+		Model:       f.pinned,
 		Service:     q.Service.Name(),
 		Customer:    q.Customer.Name(),
 		Share:       q.Customer.Share(),
--- /dev/null
+++ b/internal/weights/chunk/bitmap.go
@@ -0,0 +1,28 @@
+package chunk
+
+import "math/bits"
+
+// Bitmap says which chunks a process holds; chunk i is bit i%8 of byte i/8.
+type Bitmap []byte
+
+// NewBitmap returns an empty bitmap for n chunks.
+func NewBitmap(n int) Bitmap { return make(Bitmap, (n+7)/8) }
+
+// Has reports whether chunk i is held.
+func (b Bitmap) Has(i int) bool { return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
+
+// Set marks chunk i as held.
+func (b Bitmap) Set(i int) {
+	if i/8 < len(b) {
+		b[i/8] |= 1 << (i % 8)
+	}
+}
+
+// Count returns the number of chunks held.
+func (b Bitmap) Count() int {
+	n := 0
+	for _, x := range b {
+		n += bits.OnesCount8(x)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/weights/chunk/plan.go
@@ -0,0 +1,181 @@
+package chunk
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// wanted is a chunk that is neither held nor under way.
+type wanted struct {
+	index   int
+	holders int // known in this region
+}
+
+// Tick returns the fetches to begin now.
+func (s *Swarm) Tick(now time.Time) []Fetch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer func() { s.resting = false }()
+	var out []Fetch
+	if len(s.under) >= mostFetches {
+		return out
+	}
+	for _, w := range s.rarest() {
+		if len(s.under) >= mostFetches {
+			break
+		}
+		f, ok := s.plan(now, w)
+		if !ok {
+			continue
+		}
+		s.begin(now, f)
+		out = append(out, f)
+	}
+	return out
+}
+
+func (s *Swarm) begin(now time.Time, f Fetch) {
+	u := fetch{index: f.Index, begun: now}
+	if f.Peer != nil {
+		u.from = f.Peer.Incarnation
+		u.far = f.Peer.Region != s.self.Region
+		if p := s.peer(u.from); p != nil {
+			p.fetches++
+		}
+	}
+	s.under = append(s.under, u)
+}
+
+// rarest returns the wanted chunks, those with the fewest holders first and
+// equal ones in random order.
+func (s *Swarm) rarest() []wanted {
+	var out []wanted
+	for i := range s.manifest.Chunks() {
+		if s.has.Has(i) || slices.ContainsFunc(s.under, func(u fetch) bool { return u.index == i }) {
+			continue
+		}
+		w := wanted{index: i}
+		for _, p := range s.peers {
+			if p.Region == s.self.Region && p.has.Has(i) {
+				w.holders++
+			}
+		}
+		out = append(out, w)
+	}
+	s.random.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	slices.SortStableFunc(out, func(a, b wanted) int { return cmp.Compare(a.holders, b.holders) })
+	return out
+}
+
+// plan says where a chunk is to come from now, if from anywhere.
+func (s *Swarm) plan(now time.Time, w wanted) (Fetch, bool) {
+	// A peer in the own region goes first.
+	if w.holders > 0 {
+		return s.from(now, w.index, func(p *peer) bool { return p.Region == s.self.Region })
+	}
+	if !s.responsible(now, w.index) {
+		return Fetch{}, false
+	}
+
+	// This agent imports the chunk into its region.
+	chain := s.chains[w.index]
+	at := slices.Index(chain, s.self.Region)
+	if at > 0 && s.far() >= int(s.window) {
+		return Fetch{}, false
+	}
+	if at > 0 {
+		before := chain[at-1]
+		if f, ok := s.from(now, w.index, func(p *peer) bool { return p.Region == before }); ok {
+			return f, ok
+		}
+		if !s.late(now, w.index, chain[:at]) {
+			return Fetch{}, false
+		}
+		if f, ok := s.from(now, w.index, func(*peer) bool { return true }); ok {
+			return f, ok
+		}
+	}
+	return s.draw(w.index, at == 0)
+}
+
+// draw fetches from the origin, which carries only a few copies.
+func (s *Swarm) draw(index int, first bool) (Fetch, bool) {
+	n := 0
+	for _, u := range s.under {
+		if u.from == "" {
+			n++
+		}
+	}
+	if s.resting || n >= mostImports || !first && s.held(index) {
+		return Fetch{}, false
+	}
+	return Fetch{Index: index}, true
+}
+
+// held reports whether any peer is known to hold the chunk.
+func (s *Swarm) held(index int) bool {
+	return slices.ContainsFunc(s.peers, func(p *peer) bool { return p.has.Has(index) })
+}
+
+// far returns the number of chunks under way from other regions.
+func (s *Swarm) far() int {
+	n := 0
+	for _, u := range s.under {
+		if u.far {
+			n++
+		}
+	}
+	return n
+}
+
+// from picks a random holder among the least asked ones.
+func (s *Swarm) from(now time.Time, index int, match func(*peer) bool) (Fetch, bool) {
+	var best []*peer
+	for _, p := range s.peers {
+		if !match(p) || !p.has.Has(index) || p.fetches >= mostPeer || now.Before(p.aside) {
+			continue
+		}
+		if len(best) > 0 && p.fetches < best[0].fetches {
+			best = best[:0]
+		}
+		if len(best) == 0 || p.fetches == best[0].fetches {
+			best = append(best, p)
+		}
+	}
+	if len(best) == 0 {
+		return Fetch{}, false
+	}
+	p := best[s.random.IntN(len(best))]
+	return Fetch{Index: index, Peer: &p.Peer}, true
+}
+
+// responsible reports whether this agent is to import a chunk into its region:
+// it is the first candidate, or every candidate before it has stalled.
+func (s *Swarm) responsible(now time.Time, index int) bool {
+	for _, key := range s.imports[index] {
+		if key == s.self.Incarnation {
+			return true
+		}
+		if p := s.peer(key); p != nil && !s.stalled(now, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// stalled reports whether a peer has had no new chunk for a while.
+func (s *Swarm) stalled(now time.Time, p *peer) bool {
+	return now.Sub(p.gained) > stalled && now.Sub(s.began) > stalled
+}
+
+// late reports whether the regions before this one in a chunk's chain have had
+// no new chunk for a while, so that it must come from elsewhere.
+func (s *Swarm) late(now time.Time, index int, before []string) bool {
+	for _, p := range s.peers {
+		if slices.Contains(before, p.Region) && !s.stalled(now, p) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/weights/chunk/swarm.go
@@ -0,0 +1,417 @@
+// Package chunk spreads the chunks of a version among the agents that are to
+// hold it.
+//
+// Every agent decides for itself what to fetch next and from whom. Each chunk
+// has one importer in each region, by rendezvous hash, and goes through the
+// regions in an order that is hashed for that chunk: its first importer draws
+// it from the origin, the others from the region before theirs. So the origin
+// is drawn about once, and every link between regions carries a part. Inside a
+// region agents fetch from each other, rarest first. A Swarm decides; it
+// fetches and stores nothing itself.
+package chunk
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"fulmardeal/internal/fleet/membership"
+	"fulmardeal/internal/proof/invariant"
+	"fulmardeal/internal/weights/manifest"
+)
+
+// Bounds of a swarm's work.
+const (
+	mostFetches = 8 // chunks under way to this agent
+	mostImports = 4 // of those, from the origin
+	mostPeer    = 2 // of those, from one peer
+
+	// A peer asks the same few neighbours most often, so that its cost doesn't
+	// grow with the swarm, and some others in turn.
+	nearNeighbours = 12
+	farNeighbours  = 6
+	strangers      = 2
+
+	// candidates is how many agents of a region may come to import a chunk.
+	candidates = 3
+
+	// stalled is the time without any new chunk after which a candidate is
+	// passed over by the next one.
+	stalled = 5 * time.Second
+
+	// A peer that was slow or wrong is set aside, for longer each time.
+	asideFirst = time.Second
+	asideMost  = 30 * time.Second
+
+	// The window of fetches from other regions grows with each chunk and
+	// shrinks when the way there becomes slow: weights yield to requests.
+	windowLeast = 1.0
+	windowMost  = 8.0
+	windowGain  = 0.25
+	slowWay     = 25 * time.Millisecond
+	slowWait    = 200 * time.Millisecond
+)
+
+// Peer is another agent of the swarm.
+type Peer struct {
+	Incarnation string
+	Name        string
+	Address     string
+	Region      string
+}
+
+// Fetch is one thing to do: get a chunk from a peer, or from the origin when
+// the peer is nil.
+type Fetch struct {
+	Index int
+	Peer  *Peer
+}
+
+// peer is what is known about one other agent.
+type peer struct {
+	Peer
+	has      Bitmap
+	near     bool      // one of the neighbours
+	gained   time.Time // when it last had a new chunk
+	asked    time.Time // when its bitmap was last asked for
+	fetches  int
+	failures int
+	aside    time.Time
+}
+
+// fetch is one chunk under way.
+type fetch struct {
+	index int
+	from  string // incarnation, empty for the origin
+	far   bool
+	begun time.Time
+}
+
+// Swarm is one agent's part in spreading one version. It is safe for
+// concurrent use.
+type Swarm struct {
+	mu       sync.Mutex
+	book     *invariant.Book
+	manifest *manifest.Manifest
+	self     Peer
+	home     string // the origin's region, empty when unknown
+	random   *rand.Rand
+	began    time.Time
+	has      Bitmap
+	peers    []*peer // sorted by incarnation
+	under    []fetch
+	chains   [][]string // for each chunk, the regions in order
+	imports  [][]string // for each chunk, this region's candidates in order
+	regions  []string
+	window   float64
+	slowed   time.Time
+	nearest  time.Duration // least time seen to another region
+	corrupt  int
+	drawn    int64
+	resting  bool          // the origin is not to be asked in the next tick
+	wake     chan struct{} // has a token when a fetch has ended
+}
+
+// NewSwarm returns the part of self in spreading what m describes. Home is the
+// region of the origin; when it is empty, the chunks' first regions are hashed
+// too.
+func NewSwarm(m *manifest.Manifest, self Peer, home string, now time.Time, seed uint64, book *invariant.Book) *Swarm {
+	return &Swarm{
+		book:     book,
+		manifest: m,
+		self:     self,
+		home:     home,
+		random:   rand.New(rand.NewPCG(seed, 3)),
+		began:    now,
+		has:      NewBitmap(m.Chunks()),
+		window:   windowMost / 2,
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// changed returns a channel that has a token when a fetch has ended.
+func (s *Swarm) changed() <-chan struct{} { return s.wake }
+
+// rest keeps the next tick away from the origin.
+func (s *Swarm) rest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resting = true
+}
+
+// Manifest returns what is being spread.
+func (s *Swarm) Manifest() *manifest.Manifest { return s.manifest }
+
+// Have returns a copy of this agent's bitmap.
+func (s *Swarm) Have() Bitmap {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.has)
+}
+
+// Whole reports whether every chunk is stored and verified.
+func (s *Swarm) Whole() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.has.Count() == s.manifest.Chunks()
+}
+
+// Corrupt returns how many chunks arrived wrong.
+func (s *Swarm) Corrupt() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.corrupt
+}
+
+// Drawn returns the bytes that this agent has drawn from the origin.
+func (s *Swarm) Drawn() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drawn
+}
+
+// Meet takes over the peers. What is known about one that stays is kept.
+func (s *Swarm) Meet(now time.Time, peers []Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var next []*peer
+	for _, p := range peers {
+		if p.Incarnation == s.self.Incarnation {
+			continue
+		}
+		i := slices.IndexFunc(s.peers, func(x *peer) bool { return x.Incarnation == p.Incarnation })
+		if i >= 0 {
+			next = append(next, s.peers[i])
+			continue
+		}
+		next = append(next, &peer{Peer: p, has: NewBitmap(s.manifest.Chunks()), gained: now})
+	}
+	slices.SortFunc(next, func(a, b *peer) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	if s.chains != nil && slices.EqualFunc(next, s.peers, func(a, b *peer) bool { return a == b }) {
+		return
+	}
+	s.peers = next
+	s.chain()
+	s.rank()
+	s.befriend()
+}
+
+// rank works out the candidates of this region for importing each chunk.
+func (s *Swarm) rank() {
+	names := []string{s.self.Incarnation}
+	for _, p := range s.peers {
+		if p.Region == s.self.Region {
+			names = append(names, p.Incarnation)
+		}
+	}
+	s.imports = make([][]string, s.manifest.Chunks())
+	for i := range s.imports {
+		order := membership.Order(fmt.Sprintf("import/%v/%d", s.manifest.Version(), i), names)
+		s.imports[i] = slices.Clone(order[:min(candidates, len(order))])
+	}
+}
+
+// befriend chooses the neighbours, near and far.
+func (s *Swarm) befriend() {
+	var near, far []string
+	for _, p := range s.peers {
+		if p.Region == s.self.Region {
+			near = append(near, p.Incarnation)
+		} else {
+			far = append(far, p.Incarnation)
+		}
+	}
+	job := "neighbour/" + s.self.Incarnation
+	near = membership.Order(job, near)
+	far = membership.Order(job, far)
+	chosen := append(near[:min(nearNeighbours, len(near))], far[:min(farNeighbours, len(far))]...)
+	for _, p := range s.peers {
+		p.near = slices.Contains(chosen, p.Incarnation)
+	}
+}
+
+// chain works out the order of regions for each chunk.
+func (s *Swarm) chain() {
+	regions := []string{s.self.Region}
+	for _, p := range s.peers {
+		regions = append(regions, p.Region)
+	}
+	slices.Sort(regions)
+	regions = slices.Compact(regions)
+	if slices.Equal(regions, s.regions) {
+		return
+	}
+
+	s.regions = regions
+	s.chains = make([][]string, s.manifest.Chunks())
+	for i := range s.chains {
+		order := membership.Order(fmt.Sprintf("chain/%v/%d", s.manifest.Version(), i), regions)
+		if at := slices.Index(order, s.home); at > 0 {
+			order = slices.Insert(slices.Delete(order, at, at+1), 0, s.home)
+		}
+		s.chains[i] = order
+	}
+}
+
+// Learn takes a peer's bitmap, and how long the question took.
+func (s *Swarm) Learn(now time.Time, incarnation string, has Bitmap, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.peer(incarnation)
+	if p == nil || len(has) != len(s.has) {
+		return
+	}
+	if has.Count() > p.has.Count() {
+		p.gained = now
+	}
+	p.has = has
+	if p.Region != s.self.Region {
+		s.yield(now, took)
+	}
+}
+
+// yield shrinks the window when the way to other regions has become slow.
+func (s *Swarm) yield(now time.Time, took time.Duration) {
+	if s.nearest == 0 || took < s.nearest {
+		s.nearest = took
+	}
+	if took > s.nearest+slowWay && now.Sub(s.slowed) > slowWait {
+		s.window = max(windowLeast, s.window/2)
+		s.slowed = now
+	}
+}
+
+func (s *Swarm) peer(incarnation string) *peer {
+	i, found := slices.BinarySearchFunc(s.peers, incarnation, func(p *peer, key string) int {
+		return cmp.Compare(p.Incarnation, key)
+	})
+	if !found {
+		return nil
+	}
+	return s.peers[i]
+}
+
+// Ask returns the peers whose bitmaps should be asked for now: the neighbours
+// that were not asked lately, and a few others.
+func (s *Swarm) Ask(now time.Time, every time.Duration) []Peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Peer
+	others := strangers
+	start := s.random.IntN(max(1, len(s.peers)))
+	for i := range s.peers {
+		p := s.peers[(start+i)%len(s.peers)]
+		if now.Sub(p.asked) < every || now.Before(p.aside) || p.has.Count() == s.manifest.Chunks() {
+			continue
+		}
+		if !p.near {
+			if others == 0 {
+				continue
+			}
+			others--
+		}
+		p.asked = now
+		out = append(out, p.Peer)
+	}
+	return out
+}
+
+// Stored marks chunks that are already in the store, after a restart or from
+// another version.
+func (s *Swarm) Stored(index int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.has.Set(index)
+}
+
+// Got ends a fetch whose chunk has been verified and stored.
+func (s *Swarm) Got(now time.Time, f Fetch, has Bitmap) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end(f)
+	s.has.Set(f.Index)
+	if f.Peer == nil {
+		s.drawn += int64(s.manifest.ChunkSize(f.Index))
+		return
+	}
+	p := s.peer(f.Peer.Incarnation)
+	if p == nil {
+		return
+	}
+	p.failures = 0
+	if len(has) == len(s.has) {
+		p.has = has
+	}
+	if p.Region != s.self.Region {
+		s.window = min(windowMost, s.window+windowGain/s.window)
+	}
+}
+
+// Missed ends a fetch that brought nothing because the peer had no time or no
+// longer has the chunk. The peer is not to blame.
+func (s *Swarm) Missed(now time.Time, f Fetch, has Bitmap) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end(f)
+	if f.Peer == nil {
+		return
+	}
+	p := s.peer(f.Peer.Incarnation)
+	if p == nil {
+		return
+	}
+	if len(has) == len(s.has) {
+		p.has = has
+	}
+	p.aside = now.Add(time.Duration(10+s.random.IntN(30)) * time.Millisecond)
+}
+
+// Failed ends a fetch whose peer was silent, or sent something wrong.
+func (s *Swarm) Failed(now time.Time, f Fetch, corrupt bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end(f)
+	if corrupt {
+		s.corrupt++
+	}
+	if f.Peer == nil {
+		return
+	}
+	if p := s.peer(f.Peer.Incarnation); p != nil {
+		p.aside = now.Add(min(asideFirst<<min(p.failures, 10), asideMost))
+		p.failures++
+	}
+}
+
+func (s *Swarm) end(f Fetch) {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	i := slices.IndexFunc(s.under, func(u fetch) bool { return u.index == f.Index })
+	if i < 0 {
+		return
+	}
+	if p := s.peer(s.under[i].from); p != nil {
+		p.fetches--
+	}
+	s.under = slices.Delete(s.under, i, i+1)
+}
+
+// Progress is how far a swarm has come at this agent.
+type Progress struct {
+	Held   int
+	Chunks int
+	Under  int
+	Peers  int
+}
+
+// Progress returns how far this agent has come.
+func (s *Swarm) Progress() Progress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Progress{Held: s.has.Count(), Chunks: s.manifest.Chunks(), Under: len(s.under), Peers: len(s.peers)}
+}
--- /dev/null
+++ b/internal/weights/replica/replica.go
@@ -0,0 +1,129 @@
+// Package replica says which endpoints hold a model. Every agent works it out
+// for itself from the configuration and its view of the members; two that
+// disagree for a while hold a replica too many, never one too few for long.
+package replica
+
+import (
+	"slices"
+
+	"fulmardeal"
+	"fulmardeal/internal/fleet/configuration"
+	"fulmardeal/internal/fleet/membership"
+)
+
+// site is the candidates of one data centre, in the order of their ranks.
+type site struct {
+	dataCentre string
+	names      []string
+}
+
+// Placed returns the names of the endpoints that are to hold the model: the
+// wanted number, spread evenly over the data centres that are not out.
+func Placed(c *configuration.Configuration, m configuration.Model, members []membership.Member) []string {
+	var sites []site
+	for _, x := range members {
+		in := x.Instance()
+		if in.Role != fulmardeal.RoleAgent || in.Leaving || c.IsOut(in.DataCentre) {
+			continue
+		}
+		if !m.At().Matches(c.EndpointLabels(in)) {
+			continue
+		}
+		sites = put(sites, in)
+	}
+
+	job := "replica/" + m.Version().Model
+	total := 0
+	for i := range sites {
+		sites[i].names = membership.Order(job, slices.Compact(sites[i].names))
+		total += len(sites[i].names)
+	}
+	want := m.Replicas()
+	if want == 0 || want > total {
+		want = total
+	}
+	return deal(job, sites, want)
+}
+
+func put(sites []site, in fulmardeal.Instance) []site {
+	for i := range sites {
+		if sites[i].dataCentre == in.DataCentre {
+			sites[i].names = append(sites[i].names, in.Name)
+			return sites
+		}
+	}
+	return append(sites, site{dataCentre: in.DataCentre, names: []string{in.Name}})
+}
+
+// deal takes one name of each data centre in turn until there are enough.
+func deal(job string, sites []site, want int) []string {
+	slices.SortFunc(sites, func(a, b site) int {
+		x, y := membership.Score(job, a.dataCentre), membership.Score(job, b.dataCentre)
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+
+	var out []string
+	for round := 0; len(out) < want; round++ {
+		for _, s := range sites {
+			if round < len(s.names) && len(out) < want {
+				out = append(out, s.names[round])
+			}
+		}
+	}
+	return out
+}
+
+// Ready counts the members other than name that serve the version.
+func Ready(v fulmardeal.Version, name string, members []membership.Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Serving() == v && m.Instance().Name != name && !m.Instance().Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Turn reports whether it is this endpoint's turn to change over to the
+// version. Endpoints change over in waves, so that at most a quarter of the
+// placed ones is away at a time: one may go when all but a quarter of those
+// before it serve the version, or when nothing serves the model yet.
+func Turn(v fulmardeal.Version, name string, placed []string, members []membership.Member) bool {
+	order := membership.Order("turn/"+v.String(), placed)
+	rank := slices.Index(order, name)
+	if rank < 0 {
+		return false
+	}
+
+	old, done := 0, 0
+	for _, m := range members {
+		if !slices.Contains(placed, m.Instance().Name) {
+			continue
+		}
+		if m.Serving() == v {
+			done++
+		} else if m.Serving().Model == v.Model {
+			old++
+		}
+	}
+	wave := max(1, len(placed)/4)
+	return old == 0 || rank < done+wave
+}
+
+// Target returns the model that an endpoint is to serve, or false when it is
+// placed for none. An endpoint holds one model: the first by name.
+func Target(c *configuration.Configuration, name string, members []membership.Member) (configuration.Model, []string, bool) {
+	for _, m := range c.Models() {
+		placed := Placed(c, m, members)
+		if slices.Contains(placed, name) {
+			return m, placed, true
+		}
+	}
+	return configuration.Model{}, nil, false
+}
