cli/command: processes, stand-ins and operators' commands

Entry, agent and stand-ins run as processes of their own, and the operators' commands change the configuration through the log and wait until it is in force. Scripts drive them as separate processes.

Cause of two findings on the way. In the first local run every agent drew a whole copy from the origin: the platform's list lags, so that a process which had just started knew only itself and took every chunk to be its own to draw. Ruled out: the plan itself, which had no peers to plan with. A process now decides such things only once another has told it all that it knows.

A body over the limit was answered on a connection that was then closed with unread bytes, so that a caller still sending saw a reset in place of the 413. Such a body is now read to its end, within a bound, before the answer.

--- a/fulmardeal.go
+++ b/fulmardeal.go
@@ -42,8 +42,13 @@
 	Name  string
 }
 
-// String returns the version as model@name.
-func (v Version) String() string { return v.Model + "@" + v.Name }
+// String returns the version as model@name, and nothing for the zero version.
+func (v Version) String() string {
+	if v.Zero() {
+		return ""
+	}
+	return v.Model + "@" + v.Name
+}
 
 // Zero reports whether v names nothing.
 func (v Version) Zero() bool { return v == Version{} }
--- a/internal/cli/command/command.go
+++ b/internal/cli/command/command.go
@@ -71,6 +71,11 @@
 	}
 
 	_, err := p.ParseArgs(args)
+	var f *flags.Error
+	if errors.As(err, &f) && f.Type == flags.ErrHelp {
+		fmt.Fprintln(out, f.Message)
+		return exitDone
+	}
 	return report(errs, err)
 }
 
@@ -82,9 +87,6 @@
 	var f *flags.Error
 	if errors.As(err, &f) {
 		fmt.Fprintln(errs, f.Message)
-		if f.Type == flags.ErrHelp {
-			return exitDone
-		}
 		return exitUsage
 	}
 	fmt.Fprintln(errs, err)
@@ -106,6 +108,17 @@
 func subcommands(env *environment) []subcommand {
 	return []subcommand{
 		{"local", "Run the whole system in this process", localHelp, &local{env: env}},
+		{"entry", "Run an entry", entryHelp, &entryCommand{env: env}},
+		{"agent", "Run the agent beside an endpoint", agentHelp, &agentCommand{env: env}},
+		{"standin", "Run a stand-in of the platform or an endpoint", standinHelp, &standin{env: env}},
+		{"check", "Check files of the configuration", checkHelp, &check{env: env}},
+		{"apply", "Change the configuration", applyHelp, &apply{env: env}},
+		{"show", "Show the configuration", showHelp, &show{env: env}},
+		{"out", "Take a data centre out", outHelp, &outOrBack{env: env, out: true}},
+		{"back", "Bring a data centre back", backHelp, &outOrBack{env: env}},
+		{"label", "Set labels of an endpoint or a customer", labelHelp, &labelCommand{env: env}},
+		{"status", "Ask every process how it is", statusHelp, &statusCommand{env: env}},
+		{"dump", "Print a process's state", dumpHelp, &dump{env: env}},
 		{"version", "Print the version", "Prints the version of the program.", &version{env: env}},
 	}
 }
--- /dev/null
+++ b/internal/cli/command/dump.go
@@ -0,0 +1,35 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"fulmardeal/internal/link/connection"
+	"fulmardeal/internal/platform/adapter"
+	"fulmardeal/internal/process/operator"
+)
+
+const dumpHelp = `Prints the state of the process at an internal address, in JSON.
+
+Example:
+  fulmardeal dump 127.0.0.1:7100`
+
+// dump prints a process's tables.
+type dump struct {
+	env *environment
+}
+
+// Execute asks the process that the argument names.
+func (c *dump) Execute(args []string) error {
+	if len(args) != 1 {
+		return &usageError{reason: "name one address, IP:PORT"}
+	}
+	o, cleanup := operator.New(adapter.Unreachable{}, nil, connection.TCP{})
+	defer cleanup()
+	data, err := o.Dump(context.Background(), args[0])
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.env.out, "%s\n", data)
+	return nil
+}
--- /dev/null
+++ b/internal/cli/command/operator.go
@@ -0,0 +1,88 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"fulmardeal/internal/fleet/configuration"
+	"fulmardeal/internal/link/connection"
+	"fulmardeal/internal/platform/adapter"
+	"fulmardeal/internal/process/operator"
+)
+
+// operatorFlags are the flags of the operators' commands.
+type operatorFlags struct {
+	Log       string        `long:"log" env:"FULMARDEAL_LOG" description:"Address of the platform's log" value-name:"URL" required:"true"`
+	Directory string        `long:"directory" env:"FULMARDEAL_DIRECTORY" description:"Address of the platform's list of instances" value-name:"URL" required:"true"`
+	Wait      time.Duration `long:"wait" description:"How long to wait until a change is in force everywhere" default:"16s"`
+	JSON      bool          `long:"json" description:"Print JSON"`
+}
+
+// open returns an operator and a function that closes its connections.
+func (f operatorFlags) open() (*operator.Operator, func(), error) {
+	l, err := adapter.NewLog(f.Log)
+	d, err2 := adapter.NewDirectory(f.Directory)
+	if err := errors.Join(err, err2); err != nil {
+		return nil, nil, &usageError{reason: err.Error()}
+	}
+	o, cleanup := operator.New(l, d, connection.TCP{})
+	return o, cleanup, nil
+}
+
+// errNotEverywhere says that a change was accepted, but that not all processes
+// have said that it is in force.
+var errNotEverywhere = errors.New("accepted, but not everywhere in force yet")
+
+// change applies the change that make returns for the present state, and says
+// what came of it.
+func (f operatorFlags) change(env *environment, make func(configuration.State) (configuration.Document, error)) error {
+	o, cleanup, err := f.open()
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	ctx := context.Background()
+	s, err := o.State(ctx)
+	if err != nil {
+		return err
+	}
+	d, err := make(s)
+	if err != nil {
+		return err
+	}
+	out, err := o.Apply(ctx, d, f.Wait)
+	if err != nil {
+		return err
+	}
+	return f.say(env, out)
+}
+
+func (f operatorFlags) say(env *environment, out operator.Outcome) error {
+	if f.JSON {
+		if err := printJSON(env, out); err != nil {
+			return err
+		}
+	} else if out.Accepted {
+		fmt.Fprintf(env.out, "accepted as version %d, in force in %d processes\n", out.Offset, out.InForce)
+	}
+	switch {
+	case !out.Accepted:
+		return fmt.Errorf("refused: %s", out.Reason)
+	case len(out.Missing) > 0:
+		return fmt.Errorf("%w: %s", errNotEverywhere, strings.Join(out.Missing, ", "))
+	}
+	return nil
+}
+
+func printJSON(env *environment, v any) error {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(env.out, "%s\n", data)
+	return nil
+}
--- /dev/null
+++ b/internal/cli/command/script_test.go
@@ -0,0 +1,208 @@
+package command
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"fulmardeal/internal/platform/adapter"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden parts of the scripts")
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"fulmardeal": func() { os.Exit(Main()) }})
+}
+
+// TestScripts runs the scripts under testdata/script, each with processes of
+// its own.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata/script",
+		UpdateScripts: *update,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"port":   cmdPort,
+			"fill":   cmdFill,
+			"until":  cmdUntil,
+			"call":   cmdCall,
+			"retry":  cmdRetry,
+			"hangup": cmdHangup,
+			"raw":    cmdRaw,
+			"signal": cmdSignal,
+			"large":  cmdLarge,
+			"idle":   cmdIdle,
+		},
+	})
+}
+
+// cmdPort sets each named variable to a free port.
+func cmdPort(ts *testscript.TestScript, _ bool, args []string) {
+	for _, a := range args {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		ts.Setenv(a, fmt.Sprint(l.Addr().(*net.TCPAddr).Port))
+		ts.Check(l.Close())
+	}
+}
+
+// cmdFill replaces $NAME in files by the variables of the script.
+func cmdFill(ts *testscript.TestScript, _ bool, args []string) {
+	for _, a := range args {
+		text := os.Expand(ts.ReadFile(a), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(a), []byte(text), 0o600))
+	}
+}
+
+// patience bounds waiting for another process; it is no measure of speed.
+const patience = 60 * time.Second
+
+// cmdUntil waits until a GET has the status: until STATUS URL.
+func cmdUntil(ts *testscript.TestScript, _ bool, args []string) {
+	end := time.Now().Add(patience)
+	last := ""
+	for time.Now().Before(end) {
+		resp, err := http.Get(args[1])
+		if err != nil {
+			last = err.Error()
+		} else {
+			resp.Body.Close()
+			last = resp.Status
+			if strings.HasPrefix(resp.Status, args[0]) {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("%s never answered %s; the last was %s", args[1], args[0], last)
+}
+
+// request makes the request of: METHOD URL [KEY=VALUE…] [@BODYFILE].
+func request(ts *testscript.TestScript, args []string) *http.Request {
+	var body io.Reader
+	var fields []string
+	for _, a := range args[2:] {
+		if file, found := strings.CutPrefix(a, "@"); found {
+			body = strings.NewReader(ts.ReadFile(file))
+			continue
+		}
+		fields = append(fields, a)
+	}
+	r, err := http.NewRequest(args[0], args[1], body)
+	ts.Check(err)
+	r.GetBody = nil
+	for _, f := range fields {
+		k, v, _ := strings.Cut(f, "=")
+		r.Header.Set(k, v)
+	}
+	return r
+}
+
+// cmdCall sends a request and prints its status, the header fields of the
+// system, and the body.
+func cmdCall(ts *testscript.TestScript, _ bool, args []string) {
+	resp, err := http.DefaultClient.Do(request(ts, args))
+	ts.Check(err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	ts.Check(err)
+	fmt.Fprintf(ts.Stdout(), "status %d\n", resp.StatusCode)
+	for _, k := range []string{"Fulmardeal-Ran", "Fulmardeal-Cause", "Retry-After"} {
+		if v := resp.Header.Get(k); v != "" {
+			fmt.Fprintf(ts.Stdout(), "%s: %s\n", k, v)
+		}
+	}
+	fmt.Fprintf(ts.Stdout(), "%s\n", data)
+}
+
+// cmdRetry repeats a call until it has the status: retry STATUS METHOD URL ….
+func cmdRetry(ts *testscript.TestScript, _ bool, args []string) {
+	last := ""
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		resp, err := http.DefaultClient.Do(request(ts, args[1:]))
+		ts.Check(err)
+		resp.Body.Close()
+		last = resp.Status
+		if strings.HasPrefix(last, args[0]) {
+			return
+		}
+	}
+	ts.Fatalf("never answered %s; the last was %s", args[0], last)
+}
+
+// cmdHangup sends a request and hangs up after the first bytes of the body.
+func cmdHangup(ts *testscript.TestScript, _ bool, args []string) {
+	resp, err := http.DefaultClient.Do(request(ts, args))
+	ts.Check(err)
+	_, err = resp.Body.Read(make([]byte, 1))
+	ts.Check(err)
+	ts.Check(resp.Body.Close())
+}
+
+// cmdRaw sends a file's bytes to an address, with \n as CRLF, and prints the
+// first line of the answer: raw ADDRESS FILE.
+func cmdRaw(ts *testscript.TestScript, _ bool, args []string) {
+	c, err := net.Dial("tcp", args[0])
+	ts.Check(err)
+	defer c.Close()
+	ts.Check(c.SetDeadline(time.Now().Add(patience)))
+	text := strings.ReplaceAll(ts.ReadFile(args[1]), "\n", "\r\n")
+	_, err = io.WriteString(c, text)
+	ts.Check(err)
+	answer, _ := io.ReadAll(c) // a reset counts as an end
+	line, _, _ := strings.Cut(string(answer), "\r\n")
+	fmt.Fprintf(ts.Stdout(), "%s\n", line)
+}
+
+// cmdSignal sends a signal to the background processes that have an argument:
+// signal TERM entry.toml.
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+		"QUIT": syscall.SIGQUIT,
+	}
+	n := 0
+	for _, c := range ts.BackgroundCmds() {
+		if slices.Contains(c.Args, args[1]) {
+			ts.Check(c.Process.Signal(signals[args[0]]))
+			n++
+		}
+	}
+	if n == 0 {
+		ts.Fatalf("no background process has the argument %s", args[1])
+	}
+}
+
+// cmdLarge writes a file of a number of bytes: large FILE BYTES.
+func cmdLarge(ts *testscript.TestScript, _ bool, args []string) {
+	var n int
+	_, err := fmt.Sscan(args[1], &n)
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), make([]byte, n), 0o600))
+}
+
+// cmdIdle waits until the endpoint at a port has no run in progress.
+func cmdIdle(ts *testscript.TestScript, _ bool, args []string) {
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		resp, err := http.Get("http://127.0.0.1:" + args[0] + "/load")
+		ts.Check(err)
+		var l adapter.LoadReport
+		err = json.NewDecoder(resp.Body).Decode(&l)
+		resp.Body.Close()
+		ts.Check(err)
+		if l.Running == 0 {
+			return
+		}
+	}
+	ts.Fatalf("the endpoint at port %s is still at work", args[0])
+}
--- /dev/null
+++ b/internal/cli/command/status.go
@@ -0,0 +1,62 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"text/tabwriter"
+)
+
+const statusHelp = `Asks every listed process how it is. The exit code is 1 when one isn't reached
+or isn't ready.
+
+Example:
+  fulmardeal status`
+
+// statusCommand prints a line a process.
+type statusCommand struct {
+	env *environment
+	operatorFlags
+}
+
+// Execute asks the processes and prints what they say.
+func (c *statusCommand) Execute([]string) error {
+	o, cleanup, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	all := o.Status(context.Background())
+	bad := 0
+	for _, s := range all {
+		if !s.Reached || !s.Word.Ready {
+			bad++
+		}
+	}
+	if c.JSON {
+		if err := printJSON(c.env, all); err != nil {
+			return err
+		}
+	} else {
+		w := tabwriter.NewWriter(c.env.out, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(w, "NAME\tROLE\tDATACENTRE\tVERSION\tREADY\tSERVING\tNOTE")
+		for _, s := range all {
+			note := s.Word.Reason
+			if !s.Reached {
+				note = "not reached"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%t\t%s\t%s\n", s.Instance.Name, s.Instance.Role,
+				s.Instance.DataCentre, s.Word.Version, s.Word.Ready, s.Word.Serving, note)
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+	if len(all) == 0 {
+		return errors.New("no process is listed")
+	}
+	if bad > 0 {
+		return fmt.Errorf("%d of %d processes are not ready", bad, len(all))
+	}
+	return nil
+}
--- a/internal/fleet/configuration/parse.go
+++ b/internal/fleet/configuration/parse.go
@@ -95,12 +95,17 @@
 	if len(faults) == 0 {
 		return doc, nil
 	}
+	return Document{}, &FaultsError{Faults: Locate(file, data, faults)}
+}
+
+// Locate returns the faults with their file and the lines of their paths in it.
+func Locate(file string, data []byte, faults []Fault) []Fault {
 	lines := locate(data)
 	for i := range faults {
 		faults[i].File = file
 		faults[i].Line = lines.of(faults[i].Path)
 	}
-	return Document{}, &FaultsError{Faults: faults}
+	return faults
 }
 
 // place is where a key or a table of a document stands.
--- a/internal/fleet/configuration/state.go
+++ b/internal/fleet/configuration/state.go
@@ -219,12 +219,15 @@
 	return body, nil
 }
 
+// With returns the state as it would be after the change, for showing it.
+func (s State) With(change Document) State { return s.apply(change, s.version+1) }
+
 // Check reports the faults that change would make on top of s.
 func (s State) Check(change Document) []Fault {
 	faults := change.faults()
 	if len(faults) > 0 {
 		return faults
 	}
-	next := s.apply(change, s.version+1)
+	next := s.With(change)
 	return wholeFaults(&next.doc)
 }
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -305,7 +305,7 @@
 
 // announceWeights tells the others what the endpoint serves and holds.
 func (a *Agent) announceWeights(serving, held fulmardeal.Version) {
-	a.node.Members().Update(func(n *membership.News) {
+	a.node.Tell(func(n *membership.News) {
 		n.Serving = serving
 		n.Held = held
 	})
--- a/internal/process/agent/weights.go
+++ b/internal/process/agent/weights.go
@@ -68,7 +68,7 @@
 // aim works out which model the endpoint is to serve.
 func (w *weights) aim() {
 	c := w.agent.node.Store().Current()
-	if c == nil {
+	if c == nil || !w.agent.node.Settled(time.Now()) {
 		return
 	}
 	members := w.agent.node.Members().Members()
@@ -225,7 +225,7 @@
 		return before, nil // the target has changed, or the process stops
 	}
 	w.agent.log.Info("weights whole", "version", v.String(), "bytes", m.Size(),
-		"drawn", s.Drawn(), "took", time.Since(begun).Round(time.Millisecond).String())
+		"drawn", s.Drawn(), "peers", s.Progress().Peers, "took", time.Since(begun).Round(time.Millisecond).String())
 	return m, nil
 }
 
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -28,6 +28,7 @@
 
 	mostHeader  = 16 << 10 // bytes
 	mostBody    = 4 << 20  // bytes
+	mostDrained = 64 << 20 // bytes of a body that is too large
 	readTimeout = 10 * time.Second
 	idleTimeout = 60 * time.Second
 
@@ -118,7 +119,7 @@
 		Handler:               e.handle,
 		Name:                  "fulmardeal",
 		ReadBufferSize:        mostHeader,
-		MaxRequestBodySize:    mostBody,
+		StreamRequestBody:     true, // bounded by readBody
 		ReadTimeout:           readTimeout,
 		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
--- a/internal/process/entry/handle.go
+++ b/internal/process/entry/handle.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"strconv"
 	"strings"
@@ -95,12 +96,16 @@
 		return request.Request{}, err
 	}
 
+	body, err := readBody(ctx)
+	if err != nil {
+		return request.Request{}, err
+	}
 	q := request.Request{
 		Customer: customer,
 		Method:   string(ctx.Method()),
 		Path:     string(ctx.RequestURI()),
 		Header:   headers(ctx),
-		Body:     append([]byte(nil), ctx.PostBody()...),
+		Body:     body,
 		Key:      strings.Trim(string(ctx.Request.Header.Peek(HeaderKey)), `"`),
 		Priority: priority(customer),
 	}
@@ -111,6 +116,32 @@
 	return plain(c, q, string(ctx.Path()))
 }
 
+// readBody reads the whole body. One that is too large is read to its end as
+// far as that is reasonable, since a caller that is still sending doesn't see
+// the answer of a closed connection.
+func readBody(ctx *fasthttp.RequestCtx) ([]byte, error) {
+	stream := ctx.RequestBodyStream()
+	if stream == nil {
+		return append([]byte(nil), ctx.PostBody()...), nil
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, mostBody+1))
+	if err != nil {
+		ctx.SetConnectionClose()
+		return nil, &badRequest{status: fasthttp.StatusBadRequest, reason: "the body ends early: " + err.Error()}
+	}
+	if len(body) <= mostBody {
+		return body, nil
+	}
+	_, err = io.CopyN(io.Discard, stream, mostDrained)
+	if !errors.Is(err, io.EOF) {
+		ctx.SetConnectionClose()
+	}
+	return nil, &badRequest{
+		status: fasthttp.StatusRequestEntityTooLarge,
+		reason: fmt.Sprintf("the body is over %d bytes", mostBody),
+	}
+}
+
 func authenticate(ctx *fasthttp.RequestCtx, c *configuration.Configuration) (configuration.Customer, error) {
 	key, found := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
 	if found {
@@ -325,11 +356,9 @@
 func (e *Entry) refuseUnreadable(ctx *fasthttp.RequestCtx, err error) {
 	bad := &badRequest{status: fasthttp.StatusBadRequest, reason: "the request can't be read: " + err.Error()}
 	var small *fasthttp.ErrSmallBuffer
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		bad = &badRequest{status: fasthttp.StatusRequestEntityTooLarge, reason: fmt.Sprintf("the body is over %d bytes", mostBody)}
-	case errors.As(err, &small):
-		bad = &badRequest{status: fasthttp.StatusRequestHeaderFieldsTooLarge, reason: fmt.Sprintf("the header is over %d bytes", mostHeader)}
+	if errors.As(err, &small) {
+		reason := fmt.Sprintf("the header is over %d bytes", mostHeader)
+		bad = &badRequest{status: fasthttp.StatusRequestHeaderFieldsTooLarge, reason: reason}
 	}
 	ctx.SetConnectionClose()
 	e.refuse(ctx, bad)
--- /dev/null
+++ b/internal/process/monitor/monitor.go
@@ -0,0 +1,142 @@
+// Package monitor shows a process from outside: metrics, liveness, readiness
+// and the state dump over HTTP, and the dump on SIGQUIT. It changes nothing.
+package monitor
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
+
+	"fulmardeal/internal/process/node"
+)
+
+const reportEvery = time.Second
+
+// Gauge is one figure of a role.
+type Gauge struct {
+	Name  string
+	Value float64
+}
+
+// Monitor serves one process's figures.
+type Monitor struct {
+	node     *node.Node
+	gauges   func() []Gauge
+	table    *table
+	scope    tally.Scope
+	listener net.Listener
+	server   *fasthttp.Server
+}
+
+// New opens the monitor's listener; an empty address opens none. Gauges returns
+// the role's own figures. The returned function releases what it holds.
+func New(address string, n *node.Node, gauges func() []Gauge) (*Monitor, func(), error) {
+	m := &Monitor{node: n, gauges: gauges, table: newTable()}
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "fulmardeal", Reporter: m.table, Separator: "_"}, reportEvery)
+	m.scope = scope
+	cleanup := func() { closer.Close() }
+	if address == "" {
+		return m, cleanup, nil
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	m.listener = l
+	m.server = &fasthttp.Server{Handler: m.handle, NoDefaultServerHeader: true, Logger: quiet{}}
+	return m, func() {
+		cleanup()
+		l.Close()
+	}, nil
+}
+
+// quiet drops the library's own log lines.
+type quiet struct{}
+
+// Printf drops the line.
+func (quiet) Printf(string, ...any) {}
+
+// Run serves, and writes a dump to w on SIGQUIT, until the context ends.
+func (m *Monitor) Run(ctx context.Context, w io.Writer) error {
+	quit := make(chan os.Signal, 1)
+	signal.Notify(quit, syscall.SIGQUIT)
+	defer signal.Stop(quit)
+	if m.server != nil {
+		go func() {
+			// Serve ends with an error when the listener is closed.
+			_ = m.server.Serve(m.listener)
+		}()
+	}
+	t := time.NewTicker(reportEvery)
+	defer t.Stop()
+	for {
+		m.collect()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-quit:
+			data, err := m.dump()
+			if err == nil {
+				fmt.Fprintf(w, "%s\n", data)
+			}
+		case <-t.C:
+		}
+	}
+}
+
+func (m *Monitor) dump() ([]byte, error) { return json.MarshalIndent(m.node.Dump(), "", "  ") }
+
+// collect reads the figures into the scope.
+func (m *Monitor) collect() {
+	d := m.node.Dump()
+	m.scope.Gauge("version").Update(float64(d.Version))
+	m.scope.Gauge("members").Update(float64(len(d.Members)))
+	m.scope.Gauge("breaches").Update(float64(d.Breaches))
+	m.scope.Gauge("ready").Update(flag(d.Ready))
+	m.scope.Gauge("confirmed").Update(flag(d.Confirmed))
+	for _, g := range m.gauges() {
+		m.scope.Gauge(g.Name).Update(g.Value)
+	}
+}
+
+func flag(v bool) float64 {
+	if v {
+		return 1
+	}
+	return 0
+}
+
+func (m *Monitor) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/live":
+		ctx.SetBodyString("alive\n")
+	case "/ready":
+		ready, reason := m.node.Ready()
+		if !ready {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+		ctx.SetBodyString(reason + "\n")
+	case "/metrics":
+		m.table.write(ctx)
+	case "/dump":
+		data, err := m.dump()
+		if err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+			return
+		}
+		ctx.SetContentType("application/json")
+		ctx.SetBody(data)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
--- a/internal/process/node/exchange.go
+++ b/internal/process/node/exchange.go
@@ -97,12 +97,12 @@
 }
 
 // join learns all members and the configuration from one process.
-func (n *Node) join(ctx context.Context, in fulmardeal.Instance) {
+func (n *Node) join(ctx context.Context, in fulmardeal.Instance) bool {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var reply Join
 	if err := n.pool.Client(in.Address).Call(ctx, ServiceName+".Join", n.greeting(), &reply); err != nil {
-		return
+		return false
 	}
 	now := time.Now()
 	n.members.Met(now, reply.From)
@@ -110,6 +110,12 @@
 	if !reply.Update.Empty() {
 		n.store.Absorb(reply.Update)
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.joined {
+		n.joined, n.joinedAt = true, now
+	}
+	return true
 }
 
 // Service serves a node to its peers and to the operators' commands.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -29,6 +29,7 @@
 	exchangeEvery = time.Second
 	announceEvery = 2 * time.Second
 	listEvery     = 2 * time.Second
+	lookEvery     = 250 * time.Millisecond // for others, while none is known
 	readEvery     = 500 * time.Millisecond
 
 	exchangeTimeout = time.Second
@@ -46,6 +47,11 @@
 	// its configuration before it takes new work.
 	frozenAfter = 2 * time.Second
 
+	// Times until a process that has just started decides what only one of all
+	// should do: the platform's list lags.
+	settleAfter = time.Second
+	aloneAfter  = 6 * time.Second
+
 	poolSize = 512
 )
 
@@ -79,6 +85,10 @@
 	ready     func() (bool, string)
 	dump      func() any
 	progress  func() string
+	started   time.Time
+	listed    time.Time
+	joined    bool // another process has told of all that it knows
+	joinedAt  time.Time
 	logDown   bool
 	expired   bool
 }
@@ -101,6 +111,7 @@
 		store:       configuration.NewStore(o.Book),
 		members:     membership.NewTable(o.Settings.Instance(o.Role, incarnation), o.Seed),
 		log:         o.Logger.With("process", o.Settings.Name),
+		started:     time.Now(),
 	}
 	cleanup := func() {
 		closeServer()
@@ -153,7 +164,7 @@
 	g.Go(func() error { return n.every(ctx, tickEvery, n.tick) })
 	g.Go(func() error { return n.every(ctx, exchangeEvery, n.probe) })
 	g.Go(func() error { return n.every(ctx, announceEvery, n.announce) })
-	g.Go(func() error { return n.every(ctx, listEvery, n.list) })
+	g.Go(func() error { return n.every(ctx, lookEvery, n.list) })
 	g.Go(func() error { return n.every(ctx, readEvery, n.read) })
 	return g.Wait()
 }
@@ -230,13 +241,22 @@
 	return "no configuration: nothing has been applied yet"
 }
 
+// Tell changes this process's own news and passes it on at once.
+func (n *Node) Tell(change func(x *membership.News)) {
+	before := n.members.Self().Beat
+	n.members.Update(change)
+	if n.members.Self().Beat == before {
+		return
+	}
+	for _, in := range n.members.Some(fanout) {
+		go n.exchange(context.Background(), in)
+	}
+}
+
 // Leave tells the platform and the others that this process is leaving.
 func (n *Node) Leave(ctx context.Context) {
-	n.members.Update(func(x *membership.News) { x.Instance.Leaving = true })
+	n.Tell(func(x *membership.News) { x.Instance.Leaving = true })
 	n.announce(ctx)
-	for _, in := range n.members.Some(fanout) {
-		go n.exchange(ctx, in)
-	}
 }
 
 // Dump returns the node's tables for the state dump.
--- a/internal/process/node/platform.go
+++ b/internal/process/node/platform.go
@@ -34,9 +34,16 @@
 }
 
 // list joins the platform's list of instances, and joins the others through
-// one of them when this process has just started.
+// one of them when this process has just started. A process that knows nobody
+// looks more often.
 func (n *Node) list(ctx context.Context) {
-	first := len(n.members.Some(1)) == 0
+	n.mu.Lock()
+	due := !n.joined || time.Since(n.listed) >= listEvery
+	joined := n.joined
+	n.mu.Unlock()
+	if !due {
+		return
+	}
 	listCtx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	all, err := n.options.Directory.List(listCtx)
@@ -45,17 +52,28 @@
 		return
 	}
 	n.members.Listed(time.Now(), all)
-	if !first && n.store.Version() > 0 {
+	n.mu.Lock()
+	n.listed = time.Now()
+	n.mu.Unlock()
+	if joined && n.store.Version() > 0 {
 		return
 	}
 	for _, in := range n.members.Some(fanout) {
-		n.join(ctx, in)
-		if n.store.Version() > 0 {
+		if n.join(ctx, in) && n.store.Version() > 0 {
 			return
 		}
 	}
 }
 
+// Settled reports whether this process knows the others well enough to decide
+// what only one of them should do: another has told it of all that it knows,
+// or there seems to be no other.
+func (n *Node) Settled(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.joined && now.Sub(n.joinedAt) > settleAfter || now.Sub(n.started) > aloneAfter
+}
+
 // read reads the log when this process is one of its data centre's readers, or
 // hears nobody who could be.
 func (n *Node) read(ctx context.Context) {
--- a/internal/traffic/attempt/table.go
+++ b/internal/traffic/attempt/table.go
@@ -241,13 +241,13 @@
 
 // Row is one attempt in a state dump.
 type Row struct {
-	ID       string
-	Customer string
-	Done     bool
-	Fenced   bool
-	Fault    Fault
-	Bytes    int64
-	Age      time.Duration
+	ID       string  `json:"id"`
+	Customer string  `json:"customer"`
+	Done     bool    `json:"done"`
+	Fenced   bool    `json:"fenced,omitempty"`
+	Fault    Fault   `json:"fault,omitempty"`
+	Bytes    int64   `json:"bytes"`
+	Age      float64 `json:"age"` // seconds
 }
 
 // Rows returns the attempts that are in progress or not yet forgotten.
@@ -266,7 +266,7 @@
 			Fenced:   a.fenced,
 			Fault:    a.fault,
 			Bytes:    a.base + int64(len(a.data)),
-			Age:      now.Sub(a.born),
+			Age:      now.Sub(a.born).Seconds(),
 		})
 	}
 	return out
--- a/internal/traffic/choice/table.go
+++ b/internal/traffic/choice/table.go
@@ -361,13 +361,13 @@
 
 // Row is one endpoint in a state dump.
 type Row struct {
-	Name    string
-	Service string
-	Serving string
-	Own     int
-	Running int
-	Limit   int
-	Aside   bool
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Serving string `json:"serving,omitempty"`
+	Own     int    `json:"own"`     // requests of this entry in progress
+	Running int    `json:"running"` // by the agent's last word
+	Limit   int    `json:"limit"`   // by the agent's last word
+	Aside   bool   `json:"aside,omitempty"`
 }
 
 // Rows returns the endpoints sorted by name.
