--- a/internal/bench/load/results.go
+++ b/internal/bench/load/results.go
@@ -48,6 +48,7 @@
 type Results struct {
 	mu       sync.Mutex
 	counts   [wrong + 1]int
+	kinds    [Look + 1]int // whole answers of each kind
 	silent   int
 	causes   []Cause
 	first    *hdrhistogram.Histogram
@@ -74,6 +75,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counts[o.what]++
+	if o.what == whole {
+		r.kinds[o.call.part.Kind]++
+	}
 	if o.silent {
 		r.silent++
 	}
@@ -178,9 +182,13 @@
 	return s
 }
 
-// Whole returns how many answers were whole and in time so far.
-func (r *Results) Whole() int {
+// WholeOf returns how many answers of some kinds were whole and in time.
+func (r *Results) WholeOf(kinds ...Kind) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.counts[whole]
+	n := 0
+	for _, k := range kinds {
+		n += r.kinds[k]
+	}
+	return n
 }
--- a/internal/cli/command/command.go
+++ b/internal/cli/command/command.go
@@ -119,6 +119,7 @@
 		{"label", "Set labels of an endpoint or a customer", labelHelp, &labelCommand{env: env}},
 		{"status", "Ask every process how it is", statusHelp, &statusCommand{env: env}},
 		{"dump", "Print a process's state", dumpHelp, &dump{env: env}},
+		{"bench", "Run an experiment", benchHelp, &bench{env: env}},
 		{"version", "Print the version", "Prints the version of the program.", &version{env: env}},
 	}
 }
--- /dev/null
+++ b/internal/process/local/trial.go
@@ -0,0 +1,61 @@
+package local
+
+import (
+	"context"
+	"fmt"
+
+	"fulmardeal"
+	"fulmardeal/internal/fleet/configuration"
+	"fulmardeal/internal/standin/network"
+)
+
+// Deploy applies the settings' configuration, places a generated version of
+// the model on all engines and waits until all serve it.
+func (x *System) Deploy(ctx context.Context, name string) (configuration.ModelEntry, error) {
+	if err := x.Configure(ctx, x.settings.Configuration); err != nil {
+		return configuration.ModelEntry{}, err
+	}
+	m, err := x.Order(ctx, name)
+	if err != nil {
+		return m, err
+	}
+	v := fulmardeal.Version{Model: m.Name, Name: m.Version}
+	return m, x.await(ctx, spreadWait, "all replicas to serve "+v.String(), func() (bool, string) {
+		ready, all := x.Ready(v)
+		return ready == all, fmt.Sprintf("%d of %d do", ready, all)
+	})
+}
+
+// Order publishes a generated version of the model and places it on all
+// engines, without waiting for them.
+func (x *System) Order(ctx context.Context, name string) (configuration.ModelEntry, error) {
+	v := fulmardeal.Version{Model: modelName, Name: name}
+	m, err := x.Publish(v, Generate(x.seed(name), x.settings.Weights.Size))
+	if err != nil {
+		return m, err
+	}
+	m.At = "service=" + x.ModelService()
+	return m, x.Configure(ctx, configuration.Document{Model: []configuration.ModelEntry{m}})
+}
+
+// SilenceAll makes every open connection between an entry and an agent silent
+// for good. It returns how many there were.
+func (x *System) SilenceAll() int {
+	entries := x.Entries()
+	return x.fabric.Silence(func(from, _ network.Site) bool {
+		for _, e := range entries {
+			if e.Name == from.Instance {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// Isolate cuts a member off from every other data centre's and its own
+// processes.
+func (x *System) Isolate(m *Member) {
+	for _, d := range x.settings.Configuration.DataCentre {
+		x.fabric.Cut(m.Name, d.Name)
+	}
+}
