traffic/request: a short line for room, and lost connections settled once

The client alone now drops a connection, and pings only one that is silent while a call waits, so that silence is noticed in under 0.9 s (was 2.5 s).

Each attempt asks what the engine serves anyway; that answer now shuts the limiter, and the attempt that asked is refused when it no longer fits.

A request that finds no room now waits in a short line at its entry, and a place that comes free goes to the first in line.

--- a/internal/bench/load/results.go
+++ b/internal/bench/load/results.go
@@ -83,7 +83,9 @@
 	}
 	switch o.what {
 	case whole, late:
-		record(r.first, o.first)
+		if o.call.part.Kind == Stream {
+			record(r.first, o.first)
+		}
 		for _, d := range o.between {
 			record(r.between, d)
 		}
@@ -144,7 +146,7 @@
 	Mixed   int       `json:"mixed"`
 	Wrong   int       `json:"wrong"`
 	Silent  int       `json:"silent"` // refusals without a time to come back
-	First   Quantiles `json:"first"`
+	First   Quantiles `json:"first"`  // of streams, to the first token
 	Between Quantiles `json:"between"`
 	Refusal Quantiles `json:"refusal"`
 	Causes  []Cause   `json:"causes,omitempty"`
--- a/internal/fleet/membership/table.go
+++ b/internal/fleet/membership/table.go
@@ -56,6 +56,7 @@
 	Instance fulmardeal.Instance
 	Serving  fulmardeal.Version // the weights that an agent's endpoint serves
 	Held     fulmardeal.Version // the newest weights that it holds whole
+	Open     bool               // an agent's endpoint bears its full load
 	Beat     uint64             // raised by the member itself at each change
 	State    State
 }
@@ -78,6 +79,9 @@
 // Held returns the newest weights that the member holds whole.
 func (m Member) Held() fulmardeal.Version { return m.news.Held }
 
+// Open reports whether the member's endpoint bears its full load.
+func (m Member) Open() bool { return m.news.Open }
+
 // State returns what is thought of the member.
 func (m Member) State() State { return m.news.State }
 
@@ -131,7 +135,7 @@
 }
 
 func equal(a, b News) bool {
-	return a.Serving == b.Serving && a.Held == b.Held && a.State == b.State &&
+	return a.Serving == b.Serving && a.Held == b.Held && a.Open == b.Open && a.State == b.State &&
 		a.Instance.Leaving == b.Instance.Leaving && slices.Equal(a.Instance.Labels, b.Instance.Labels)
 }
 
--- a/internal/link/connection/connection.go
+++ b/internal/link/connection/connection.go
@@ -24,10 +24,11 @@
 
 // Times of the heartbeat.
 const (
-	pingEvery   = time.Second             // while calls are pending or were lately
-	idleEvery   = 5 * time.Second         // on an idle connection
-	pingTimeout = 1500 * time.Millisecond // silence after a ping that closes the connection
-	readTimeout = 15 * time.Second        // silence that makes a server close
+	lookEvery   = 100 * time.Millisecond // how often silence is looked for
+	quietAfter  = 300 * time.Millisecond // silence that makes a ping due while a call waits
+	idleEvery   = 5 * time.Second        // a ping on an idle connection
+	pingTimeout = 500 * time.Millisecond // silence after a ping that closes the connection
+	readTimeout = 15 * time.Second       // silence that makes a server close
 	dialTimeout = time.Second
 )
 
@@ -70,10 +71,9 @@
 	network fulmardeal.Network
 	address string
 
-	mu       sync.Mutex
-	current  *session
-	lastCall time.Time
-	closed   bool
+	mu      sync.Mutex
+	current *session
+	closed  bool
 }
 
 // session is one connection.
@@ -82,18 +82,22 @@
 	conn *counted
 	stop chan struct{}
 	once sync.Once
+
+	pending atomic.Int64 // calls that wait for their reply
 }
 
-// counted counts the reads that brought something.
+// counted counts the reads that brought something, and notes the last.
 type counted struct {
 	net.Conn
 	reads atomic.Int64
+	last  atomic.Int64 // nanoseconds since the epoch
 }
 
 func (c *counted) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.reads.Add(1)
+		c.last.Store(time.Now().UnixNano())
 	}
 	return n, err
 }
@@ -137,6 +141,8 @@
 		return err
 	}
 
+	s.pending.Add(1)
+	defer s.pending.Add(-1)
 	call := s.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -175,7 +181,6 @@
 
 func (c *Client) session(ctx context.Context) (*session, error) {
 	c.mu.Lock()
-	c.lastCall = time.Now()
 	s, closed := c.current, c.closed
 	c.mu.Unlock()
 	if closed {
@@ -207,26 +212,27 @@
 		return c.current, nil
 	}
 	n := &counted{Conn: conn}
+	n.last.Store(time.Now().UnixNano())
 	s := &session{rpc: rpc.NewClient(n), conn: n, stop: make(chan struct{})}
 	c.current = s
 	go c.heartbeat(s)
 	return s, nil
 }
 
-// heartbeat pings until the connection closes or a ping is not answered.
+// heartbeat pings when the connection is silent, until it closes or a ping is
+// not answered. Bytes that arrive are as good as an answered ping, so a busy
+// connection costs nothing.
 func (c *Client) heartbeat(s *session) {
-	t := time.NewTicker(pingEvery)
+	t := time.NewTicker(lookEvery)
 	defer t.Stop()
-	last := time.Now()
 	for {
 		select {
 		case <-s.stop:
 			return
 		case now := <-t.C:
-			if !c.busy(now) && now.Sub(last) < idleEvery {
+			if !s.due(now) {
 				continue
 			}
-			last = now
 			if !s.ping() {
 				c.drop(s)
 				return
@@ -235,10 +241,14 @@
 	}
 }
 
-func (c *Client) busy(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return now.Sub(c.lastCall) < idleEvery
+// due reports whether the connection has been silent for so long that a ping
+// is due.
+func (s *session) due(now time.Time) bool {
+	silent := now.Sub(time.Unix(0, s.conn.last.Load()))
+	if s.pending.Load() > 0 {
+		return silent >= quietAfter
+	}
+	return silent >= idleEvery
 }
 
 // ping reports whether the other end is there: it answers, or bytes of a large
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -255,12 +255,17 @@
 	if err != nil {
 		return
 	}
+	a.seen(l.Boot)
+}
+
+// seen notes the endpoint's boot.
+func (a *Agent) seen(boot string) {
 	a.mu.Lock()
-	turned := a.boot != "" && l.Boot != a.boot
-	a.boot = l.Boot
+	turned := a.boot != "" && boot != a.boot
+	a.boot = boot
 	a.mu.Unlock()
 	if turned {
-		a.log.Warn("endpoint has started anew", "boot", l.Boot)
+		a.log.Warn("endpoint has started anew", "boot", boot)
 		a.limiter.Shut(time.Now())
 	}
 }
@@ -308,5 +313,6 @@
 	a.node.Tell(func(n *membership.News) {
 		n.Serving = serving
 		n.Held = held
+		n.Open = a.limiter.Open(time.Now())
 	})
 }
--- a/internal/process/agent/guard.go
+++ b/internal/process/agent/guard.go
@@ -39,7 +39,8 @@
 }
 
 // Serving asks the engine what it serves. A plain service serves the zero
-// version.
+// version. An engine that has started anew is found cold here, before the
+// attempt that asks is sent to it.
 func (a *Agent) Serving(ctx context.Context) (fulmardeal.Version, string, error) {
 	if a.platform.Engine == nil {
 		return fulmardeal.Version{}, "", nil
@@ -48,5 +49,6 @@
 	if err != nil {
 		return fulmardeal.Version{}, "", err
 	}
+	a.seen(h.Boot)
 	return h.Version, h.Digest, nil
 }
--- a/internal/process/agent/weights.go
+++ b/internal/process/agent/weights.go
@@ -111,6 +111,7 @@
 		Held:      held,
 		HeldKnown: err == nil,
 		Running:   w.agent.limiter.Running(),
+		Load:      w.agent.limiter.Load(),
 	}
 	if w.swarm != nil && w.swarm.Manifest().Version() == w.target.Version() {
 		m := w.swarm.Manifest()
@@ -119,7 +120,7 @@
 			Digest:  m.Digest(),
 			Chunks:  m.Chunks(),
 			Whole:   w.swarm.Whole(),
-			Turn:    replica.Turn(m.Version(), w.agent.settings.Name, w.placed, members),
+			Turn:    replica.Turn(w.agent.node.Store().Current(), m.Version(), w.agent.settings.Name, w.placed, members),
 		}
 	}
 	return f
--- a/internal/traffic/admission/limiter.go
+++ b/internal/traffic/admission/limiter.go
@@ -89,6 +89,8 @@
 	took      time.Duration // mean time of a request
 	slow      int           // slow answers in a row
 	colds     int
+	load      float64 // mean part of the limit that is used
+	ticked    time.Time
 	fixed     bool
 }
 
@@ -132,6 +134,13 @@
 	return s.Cold + int(float64(s.Limit-s.Cold)*open/full)
 }
 
+// Open reports whether the limit is the full one at now.
+func (l *Limiter) Open(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limit(now) >= l.settings.Limit
+}
+
 // Running returns the requests in progress.
 func (l *Limiter) Running() int {
 	l.mu.Lock()
@@ -168,6 +177,18 @@
 	return nil
 }
 
+// Recheck refuses a request that was let in when the limit has fallen below
+// what is in progress since. The request must leave all the same.
+func (l *Limiter) Recheck(now time.Time) *Refusal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := l.limit(now)
+	if l.running <= limit {
+		return nil
+	}
+	return &Refusal{reason: ReasonFull, after: l.after(limit)}
+}
+
 // overShare reports whether a customer holds its share already while another
 // customer is present. Half of the room is free to all.
 func (l *Limiter) overShare(now time.Time, i, share, limit int) bool {
@@ -254,10 +275,26 @@
 	l.colds++
 }
 
-// Tick forgets customers that have not been seen for a while.
+// loadTime is the time over which the load is averaged.
+const loadTime = 2 * time.Second
+
+// Load returns the mean part of the limit that has lately been used.
+func (l *Limiter) Load() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.load
+}
+
+// Tick averages the load, and forgets customers that have not been seen for a
+// while.
 func (l *Limiter) Tick(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	part := float64(l.running) / float64(max(1, l.limit(now)))
+	w := min(1, now.Sub(l.ticked).Seconds()/loadTime.Seconds())
+	l.load += (part - l.load) * w
+	l.ticked = now
+
 	kept := l.customers[:0]
 	for _, c := range l.customers {
 		if c.running > 0 || now.Sub(c.seen) < presence {
--- a/internal/traffic/attempt/run.go
+++ b/internal/traffic/attempt/run.go
@@ -41,7 +41,7 @@
 // trouble: it could not be reached, broke off, or called itself overloaded.
 func unhealthy(a *attempt) bool {
 	if a.refusal != nil {
-		return true
+		return a.refusal.Reason == ReasonUnsent || a.refusal.Reason == ReasonStopped
 	}
 	return a.fault == FaultEndpoint || a.fault == FaultCut || a.status == statusUnavailable
 }
@@ -59,6 +59,9 @@
 		return FaultNone, &Refusal{Reason: ReasonModel}
 	}
 
+	if r := t.limiter.Recheck(time.Now()); r != nil {
+		return FaultNone, &Refusal{Reason: Reason(r.Reason()), After: r.After()}
+	}
 	answer, err := t.endpoint.Call(ctx, a.call())
 	if err != nil {
 		return t.failed(ctx, a, err)
--- a/internal/traffic/choice/table.go
+++ b/internal/traffic/choice/table.go
@@ -48,6 +48,14 @@
 	// aged is when an agent's word is too old to count.
 	aged = 5 * time.Second
 
+	// onTheWay is how long a request may be under way to its agent: a word that
+	// comes so soon after it was sent may not count it.
+	onTheWay = 5 * time.Millisecond
+
+	// awayFor is how long an endpoint is passed over that has said that it may
+	// not serve this now. News of it is expected before.
+	awayFor = 300 * time.Millisecond
+
 	// Waits after failures: an endpoint that failed is left alone for a while.
 	asideFirst = 500 * time.Millisecond
 	asideMost  = 10 * time.Second
@@ -58,8 +66,9 @@
 	instance fulmardeal.Instance
 	serving  fulmardeal.Version
 	labels   label.Set
-	own      int // requests of this entry in progress
-	since    int // of those, begun after the last word (may be negative)
+	own      int         // requests of this entry in progress
+	sent     []time.Time // when those were sent that the last word may not know
+	ended    int         // own requests that have ended since the last word
 	room     attempt.Room
 	heard    time.Time
 	full     time.Time // until then it has no room, by its own word
@@ -72,7 +81,7 @@
 	if e.room.Limit == 0 || now.Sub(e.heard) > aged {
 		return float64(e.own) / 4, 1
 	}
-	running := float64(max(e.room.Running+e.since, e.own))
+	running := float64(max(e.room.Running+len(e.sent)-e.ended, e.own))
 	limit := float64(e.room.Limit)
 	return running / limit, limit - running
 }
@@ -84,6 +93,7 @@
 	Model    string   // the model's name, empty for plain services
 	Prefix   string   // requests with the same prefix share a cache
 	Tried    []string // incarnations that have been tried
+	Prefer   string   // the incarnation that is known to have room, if any
 }
 
 // Pick is a chosen endpoint, with the weights that it served when chosen.
@@ -167,10 +177,10 @@
 	case PolicyLeast:
 		e = leastOwn(candidates)
 	default:
-		e = t.pick(now, t.near(now, candidates), w.Prefix)
+		e = t.ours(now, candidates, w)
 	}
 	e.own++
-	e.since++
+	e.sent = append(e.sent, now)
 	return Pick{Instance: e.instance, Serving: e.serving}, true
 }
 
@@ -260,6 +270,21 @@
 	return all
 }
 
+// ours picks by our policy. A request that was refused elsewhere goes to the
+// endpoint that seems least busy, wherever it stands.
+func (t *Table) ours(now time.Time, candidates []*endpoint, w Wish) *endpoint {
+	for _, e := range candidates {
+		if e.instance.Incarnation == w.Prefer {
+			return e
+		}
+	}
+	if len(w.Tried) > 0 {
+		e, _ := t.freest(now, candidates)
+		return e
+	}
+	return t.pick(now, t.near(now, candidates), w.Prefix)
+}
+
 // pick looks at the endpoint with the cached prefix and at random ones, and
 // takes the less busy, with some patience for the cached prefix.
 func (t *Table) pick(now time.Time, candidates []*endpoint, prefix string) *endpoint {
@@ -321,8 +346,9 @@
 		return
 	}
 	e.room = r
-	e.since = 0
+	e.ended = 0
 	e.heard = now
+	e.sent = slices.DeleteFunc(e.sent, func(t time.Time) bool { return now.Sub(t) > onTheWay })
 	e.failures = 0
 	e.aside = time.Time{}
 }
@@ -336,6 +362,16 @@
 	}
 }
 
+// Away notes an agent's word that its endpoint may not serve now, because it
+// leaves, is out, or changes its weights. It is no failure.
+func (t *Table) Away(now time.Time, incarnation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, known := t.endpoints[incarnation]; known {
+		e.full = now.Add(awayFor)
+	}
+}
+
 // Failed notes that an endpoint didn't do what it should.
 func (t *Table) Failed(now time.Time, incarnation string) {
 	t.mu.Lock()
@@ -355,7 +391,7 @@
 	defer t.mu.Unlock()
 	if e, known := t.endpoints[incarnation]; known {
 		e.own--
-		e.since--
+		e.ended++
 	}
 }
 
--- a/internal/traffic/request/flight.go
+++ b/internal/traffic/request/flight.go
@@ -15,7 +15,7 @@
 // Times of asking after an attempt whose connection was lost.
 const (
 	askTimeout = time.Second
-	askTries   = 2
+	askTries   = 3
 
 	// cancelTimeout bounds telling an agent that an attempt is given up.
 	cancelTimeout = 2 * time.Second
@@ -27,6 +27,7 @@
 	agent    fulmardeal.Instance
 	pinned   fulmardeal.Version // the weights that must answer
 	client   *connection.Client
+	line     *line // of the request's service
 	sent     time.Time
 	offset   int64
 	status   int
@@ -144,10 +145,10 @@
 	return CauseFailed
 }
 
-// settle asks the agent, over a new connection, what became of an attempt. It
-// returns nil when the attempt's answer can be read on.
+// settle asks the agent what became of an attempt whose connection was lost;
+// the client opens a new one. It returns nil when the attempt's answer can be
+// read on.
 func (r *Router) settle(ctx context.Context, f *flight) *end {
-	f.client.Renew()
 	q := attempt.Question{ID: f.id, Incarnation: f.agent.Incarnation, Age: time.Since(f.sent)}
 	for range askTries {
 		if ctx.Err() != nil {
@@ -155,8 +156,7 @@
 		}
 		word, err := r.ask(ctx, f, q)
 		if err != nil {
-			f.client.Renew()
-			continue
+			continue // the client notices a silent connection and opens a new one
 		}
 		switch word.State {
 		case attempt.StateFenced:
@@ -200,6 +200,9 @@
 	if !f.followed {
 		r.chooser.End(f.agent.Incarnation)
 	}
+	if f.begun {
+		f.line.freed(time.Now(), f.agent.Incarnation)
+	}
 	if giveUp && !f.followed {
 		go r.cancel(f)
 	}
--- a/internal/traffic/request/request.go
+++ b/internal/traffic/request/request.go
@@ -128,6 +128,7 @@
 	Known(w choice.Wish) (known, allowed bool)
 	Heard(now time.Time, incarnation string, r attempt.Room)
 	Full(now time.Time, incarnation string, after time.Duration)
+	Away(now time.Time, incarnation string)
 	Failed(now time.Time, incarnation string)
 	End(incarnation string)
 }
--- a/internal/traffic/request/router.go
+++ b/internal/traffic/request/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -15,8 +16,11 @@
 
 // Bounds of a request's attempts.
 const (
-	// mostTries bounds the endpoints that are asked for one request.
-	mostTries = 4
+	// mostTries bounds the endpoints that are asked for one request, and
+	// mostFull those of them that may say that they are full: more would only
+	// add load when all are.
+	mostTries = 10
+	mostFull  = 4
 
 	// leastRemaining is the time below which no further attempt is sent.
 	leastRemaining = 50 * time.Millisecond
@@ -36,6 +40,9 @@
 	log     *slog.Logger
 	version func() fulmardeal.Offset
 	repeats repeats
+
+	mu    sync.Mutex
+	lines map[string]*line // by service and model
 }
 
 // NewRouter returns a router. Version returns the configuration's version.
@@ -47,6 +54,7 @@
 		log:     log,
 		version: version,
 		repeats: repeats{have: repeatBurst},
+		lines:   make(map[string]*line),
 	}
 }
 
@@ -57,6 +65,7 @@
 	last    end
 	ran     attempt.Ran // RanUnknown once any attempt may have run
 	full    int
+	prefer  string // the agent that is known to have room
 	after   string // a proved not-run attempt that holds the key's claim
 }
 
@@ -65,26 +74,83 @@
 // hangs up.
 func (r *Router) Do(ctx context.Context, q Request) (*Reply, error) {
 	r.repeats.earn()
+	l := r.line(q)
 	j := &job{request: q, ran: attempt.RanNo}
+	if !l.busy() {
+		reply, full := r.round(ctx, j)
+		if reply != nil {
+			return reply, nil
+		}
+		if !full {
+			return nil, r.refuse(j)
+		}
+	}
+
+	// There is no room: wait in line for a moment, if that is short.
+	w, ok := l.join(time.Now())
+	if !ok {
+		j.full++
+		return nil, r.refuse(j)
+	}
+	for {
+		agent, ok := l.wait(ctx, w)
+		if !ok {
+			break
+		}
+		j.tried, j.full, j.prefer = nil, 0, agent
+		reply, full := r.round(ctx, j)
+		if reply != nil {
+			return reply, nil
+		}
+		if !full {
+			return nil, r.refuse(j)
+		}
+		l.back(w)
+	}
+	j.full++
+	return nil, r.refuse(j)
+}
+
+// round asks one endpoint after the other. It reports whether it gave up only
+// because those that it asked were full.
+func (r *Router) round(ctx context.Context, j *job) (reply *Reply, full bool) {
 	for range mostTries {
 		f, ok := r.prepare(j)
 		if !ok {
-			return nil, r.refuse(j)
+			return nil, j.onlyFull()
 		}
 		reply, e := r.try(ctx, j, f)
 		if e == nil {
-			return reply, nil
+			return reply, false
 		}
-		r.land(f, e.ran != attempt.RanNo && q.Safe)
+		r.land(f, e.ran != attempt.RanNo && j.request.Safe)
 		j.last = *e
 		if e.ran != attempt.RanNo {
 			j.ran = attempt.RanUnknown
 		}
 		if !r.learn(ctx, j, f, e) {
-			break
+			return nil, j.onlyFull()
 		}
 	}
-	return nil, r.refuse(j)
+	return nil, j.onlyFull()
+}
+
+// onlyFull reports whether the last word was that an endpoint is full.
+func (j *job) onlyFull() bool {
+	return j.full > 0 && j.last.ran == attempt.RanNo && j.last.cause == ""
+}
+
+// line returns the line of a request's service or model.
+func (r *Router) line(q Request) *line {
+	key := q.Service.Name() + "/" + q.Model
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l, known := r.lines[key]
+	if !known {
+		l = &line{counted: time.Now()}
+		r.lines[key] = l
+	}
+	return l
 }
 
 // prepare picks the endpoint of the next attempt.
@@ -95,12 +161,18 @@
 		return nil, false
 	}
 	in := p.Instance
-	return &flight{id: uuid.NewString(), agent: in, pinned: p.Serving, client: r.pool.Client(in.Address)}, true
+	return &flight{
+		id:     uuid.NewString(),
+		agent:  in,
+		pinned: p.Serving,
+		client: r.pool.Client(in.Address),
+		line:   r.line(j.request),
+	}, true
 }
 
 func (j *job) wish() choice.Wish {
 	q := j.request
-	return choice.Wish{Customer: q.Customer, Service: q.Service.Name(), Model: q.Model, Prefix: q.Prefix, Tried: j.tried}
+	return choice.Wish{Customer: q.Customer, Service: q.Service.Name(), Model: q.Model, Prefix: q.Prefix, Tried: j.tried, Prefer: j.prefer}
 }
 
 // try sends one attempt and collects a plain answer whole.
@@ -173,21 +245,23 @@
 func (r *Router) learn(ctx context.Context, j *job, f *flight, e *end) bool {
 	now := time.Now()
 	j.tried = append(j.tried, f.agent.Incarnation)
-	switch {
-	case e.reason == attempt.ReasonFull || e.reason == attempt.ReasonShare:
+	switch e.reason {
+	case attempt.ReasonFull, attempt.ReasonShare:
 		j.full++
 		r.chooser.Full(now, f.agent.Incarnation, e.after)
-	case e.ran == attempt.RanNo && e.reason != "":
-		r.chooser.Failed(now, f.agent.Incarnation)
-	case e.cause == CauseFailed || e.cause == CauseLost:
-		r.chooser.Failed(now, f.agent.Incarnation)
+	case attempt.ReasonOut, attempt.ReasonLeaving, attempt.ReasonModel, attempt.ReasonUnconfirmed, attempt.ReasonIncarnation:
+		r.chooser.Away(now, f.agent.Incarnation)
+	default:
+		if e.ran == attempt.RanNo && e.reason != "" || e.cause == CauseFailed || e.cause == CauseLost {
+			r.chooser.Failed(now, f.agent.Incarnation)
+		}
 	}
 
 	if !enough(ctx) {
 		return false
 	}
 	if e.ran == attempt.RanNo {
-		return e.cause != CauseClaim && e.cause != CauseKey
+		return j.full < mostFull && e.cause != CauseClaim && e.cause != CauseKey
 	}
 	if !j.request.Safe || e.cause == CauseLate || e.cause == CauseForgone || e.fault == attempt.FaultLarge {
 		return false
--- a/internal/weights/activation/activation.go
+++ b/internal/weights/activation/activation.go
@@ -21,6 +21,11 @@
 	// drainMost is how long answers in progress may hold a change up.
 	drainMost = 30 * time.Second
 
+	// busyLoad is the part of its limit from which an endpoint is too busy to
+	// be done without, and yieldMost how long a change waits for that to pass.
+	busyLoad  = 0.7
+	yieldMost = 20 * time.Second
+
 	// orderWait is the wait after an order that brought nothing.
 	orderWait = time.Second
 )
@@ -41,7 +46,8 @@
 	Confirmed bool  // the configuration has lately been confirmed
 	Held      fulmardeal.Held
 	HeldKnown bool
-	Running   int // answers in progress
+	Running   int     // answers in progress
+	Load      float64 // mean part of the limit that is used
 }
 
 // Action is what a tick asks the agent to do.
@@ -56,6 +62,7 @@
 	serving  fulmardeal.Version
 	draining bool
 	drained  time.Time // when draining began
+	yielding time.Time // since when a change waits for the load to pass
 	ordered  time.Time
 	fence    int64 // highest that was ever ordered
 }
@@ -112,8 +119,24 @@
 	return f.Target.Whole && f.Target.Turn && f.Confirmed && f.Held.Fence <= f.Fence && f.Fence >= s.fence
 }
 
+// yields reports whether the change waits because the endpoint is busy. One
+// that serves nothing has nothing to wait for.
+func (s *System) yields(now time.Time, f Facts) bool {
+	if s.serving.Zero() || f.Load < busyLoad {
+		s.yielding = time.Time{}
+		return false
+	}
+	if s.yielding.IsZero() {
+		s.yielding = now
+	}
+	return now.Sub(s.yielding) < yieldMost
+}
+
 // change waits for the answers in progress, then gives the order.
 func (s *System) change(now time.Time, f Facts) Action {
+	if !s.draining && s.yields(now, f) {
+		return Action{}
+	}
 	if !s.draining {
 		s.draining = true
 		s.drained = now
--- a/internal/weights/replica/replica.go
+++ b/internal/weights/replica/replica.go
@@ -18,14 +18,18 @@
 }
 
 // Placed returns the names of the endpoints that are to hold the model: the
-// wanted number, spread evenly over the data centres that are not out.
+// wanted number, spread evenly over the data centres that are not out, or all
+// that the model's selector matches.
 func Placed(c *configuration.Configuration, m configuration.Model, members []membership.Member) []string {
 	var sites []site
 	for _, x := range members {
 		in := x.Instance()
-		if in.Role != fulmardeal.RoleAgent || in.Leaving || c.IsOut(in.DataCentre) {
+		if in.Role != fulmardeal.RoleAgent || in.Leaving {
 			continue
 		}
+		if m.Replicas() > 0 && c.IsOut(in.DataCentre) {
+			continue // a counted replica must be of use
+		}
 		if !m.At().Matches(c.EndpointLabels(in)) {
 			continue
 		}
@@ -90,30 +94,37 @@
 	return n
 }
 
-// Turn reports whether it is this endpoint's turn to change over to the
-// version. Endpoints change over in waves, so that at most a quarter of the
-// placed ones is away at a time: one may go when all but a quarter of those
-// before it serve the version, or when nothing serves the model yet.
-func Turn(v fulmardeal.Version, name string, placed []string, members []membership.Member) bool {
-	order := membership.Order("turn/"+v.String(), placed)
-	rank := slices.Index(order, name)
-	if rank < 0 {
-		return false
-	}
+// wavePart is the part of the endpoints in service that change over at a time.
+const wavePart = 8
 
-	old, done := 0, 0
+// Turn reports whether it is this endpoint's turn to change over to the
+// version. Endpoints of a data centre that is out may change at once, and so
+// may all when none of them serves the model yet. The others change over in
+// waves, in an order that everybody works out alike: of those that hold the
+// version, one may go when all but a wave of those before it serve it and bear
+// their full load again.
+func Turn(c *configuration.Configuration, v fulmardeal.Version, name string, placed []string, members []membership.Member) bool {
+	var ready []string // those that hold the version, and so can change over
+	old, done, all := 0, 0, 0
 	for _, m := range members {
-		if !slices.Contains(placed, m.Instance().Name) {
+		in := m.Instance()
+		if !slices.Contains(placed, in.Name) || c.IsOut(in.DataCentre) {
 			continue
 		}
-		if m.Serving() == v {
+		all++
+		if m.Held() == v || m.Serving() == v || in.Name == name {
+			ready = append(ready, in.Name)
+		}
+		switch {
+		case m.Serving() == v && m.Open():
 			done++
-		} else if m.Serving().Model == v.Model {
+		case m.Serving().Model == v.Model && m.Serving() != v:
 			old++
 		}
 	}
-	wave := max(1, len(placed)/4)
-	return old == 0 || rank < done+wave
+	rank := slices.Index(membership.Order("turn/"+v.String(), ready), name)
+	wave := max(1, all/wavePart)
+	return rank < 0 || old == 0 || rank < done+wave
 }
 
 // Target returns the model that an endpoint is to serve, or false when it is
