--- a/internal/link/connection/server.go
+++ b/internal/link/connection/server.go
@@ -47,14 +47,14 @@
 func (s *Server) Serve() error {
 	for {
 		conn, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) || s.isClosed() {
+		if errors.Is(err, net.ErrClosed) || err != nil && s.isClosed() {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
 		if !s.track(conn) {
-			return nil
+			return nil // closed meanwhile, and the connection with it
 		}
 		go func() {
 			defer s.done.Done()
--- /dev/null
+++ b/internal/proof/seed/seed.go
@@ -0,0 +1,30 @@
+// Package seed makes randomised tests repeat themselves: every run of a test
+// binary draws the same cases, unless a seed is given on its command line. It
+// is for tests only.
+package seed
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+)
+
+// fixed is the seed of a run that names none.
+const fixed = "20261204"
+
+// Main runs a package's tests with a fixed seed. Call it from TestMain.
+func Main(m *testing.M) {
+	flag.Parse()
+	f := flag.Lookup("rapid.seed")
+	if f != nil && f.Value.String() == "0" {
+		if err := f.Value.Set(fixed); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	if f != nil {
+		fmt.Printf("seed %s\n", f.Value)
+	}
+	os.Exit(m.Run())
+}
--- a/internal/standin/network/conn.go
+++ b/internal/standin/network/conn.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -16,11 +15,10 @@
 // connection.
 type conn struct {
 	net.Conn // the end that the dialling process uses
-	raw      net.Conn
 	from, to Site
 	silent   atomic.Bool
+	stalled  atomic.Int64 // until then nothing is delivered, nanoseconds since the epoch
 	fabric   *Fabric
-	closeRaw sync.Once
 }
 
 // parcel is a segment on its way.
@@ -31,7 +29,7 @@
 
 func (f *Fabric) wrap(raw net.Conn, from, to Site) net.Conn {
 	near, far := net.Pipe()
-	c := &conn{Conn: near, raw: raw, from: from, to: to, fabric: f}
+	c := &conn{Conn: near, from: from, to: to, fabric: f}
 	f.mu.Lock()
 	f.conns[c] = true
 	f.mu.Unlock()
@@ -42,15 +40,18 @@
 
 func (c *conn) silence() { c.silent.Store(true) }
 
-// Close closes both ends.
+// Close closes the near end. The far end is closed once it has got what is on
+// its way; that of a silent connection isn't told.
 func (c *conn) Close() error {
 	c.fabric.mu.Lock()
 	delete(c.fabric.conns, c)
 	c.fabric.mu.Unlock()
-	c.closeRaw.Do(func() { c.raw.Close() })
 	return c.Conn.Close()
 }
 
+// stall holds back what is on its way for a time.
+func (c *conn) stall(d time.Duration) { c.stalled.Store(time.Now().Add(d).UnixNano()) }
+
 // pump moves bytes from one end to the other over the links.
 func (c *conn) pump(src, dst net.Conn, from, to Site) {
 	path := c.fabric.path(from, to)
@@ -92,6 +93,9 @@
 		if d := time.Until(p.due); d > 0 {
 			time.Sleep(d)
 		}
+		if d := time.Until(time.Unix(0, c.stalled.Load())); d > 0 {
+			time.Sleep(d)
+		}
 		if broken {
 			continue
 		}
--- a/internal/standin/network/fabric.go
+++ b/internal/standin/network/fabric.go
@@ -106,6 +106,18 @@
 	return n
 }
 
+// Stall holds back for a time what is on its way over the open connections that
+// match. It arrives late, also when the connection has been given up meanwhile.
+func (f *Fabric) Stall(d time.Duration, match func(from, to Site) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if match(c.from, c.to) {
+			c.stall(d)
+		}
+	}
+}
+
 // Carried returns the bytes that have crossed between two regions, one way.
 func (f *Fabric) Carried(from, to string) int64 {
 	f.mu.Lock()
--- a/internal/traffic/request/keyed.go
+++ b/internal/traffic/request/keyed.go
@@ -39,8 +39,10 @@
 		r.log.Warn("key not claimed", "service", q.Service.Name(), "err", err)
 		return &end{ran: attempt.RanNo, cause: CauseClaim, after: defaultAfter}
 	case w.Body != c.Body:
+		j.ran = attempt.RanNo
 		return &end{ran: attempt.RanNo, cause: CauseKey}
 	case w.Attempt == c.Attempt:
+		j.ran = attempt.RanNo // nobody ran it before
 		j.after = c.Attempt
 		return nil
 	}
@@ -62,6 +64,7 @@
 	case err != nil, word.State == attempt.StateGone:
 		return &end{ran: attempt.RanUnknown, cause: CauseLost}
 	case word.State == attempt.StateFenced:
+		j.ran = attempt.RanNo
 		j.after = w.Attempt
 		return &end{ran: attempt.RanNo, reason: attempt.ReasonFenced}
 	}
--- a/internal/traffic/request/router.go
+++ b/internal/traffic/request/router.go
@@ -63,19 +63,29 @@
 	request Request
 	tried   []string
 	last    end
-	ran     attempt.Ran // RanUnknown once any attempt may have run
+	ran     attempt.Ran // RanUnknown when any attempt may have run
 	full    int
 	prefer  string // the agent that is known to have room
 	after   string // a proved not-run attempt that holds the key's claim
 }
 
+// newJob begins a request. One with a key may have run for an earlier caller,
+// which only its claim can tell.
+func newJob(q Request) *job {
+	j := &job{request: q, ran: attempt.RanNo}
+	if keyed(q) {
+		j.ran = attempt.RanUnknown
+	}
+	return j
+}
+
 // Do sends the request and returns an answer that has begun, or a
 // *RefusedError. The context carries the deadline, and ends when the caller
 // hangs up.
 func (r *Router) Do(ctx context.Context, q Request) (*Reply, error) {
 	r.repeats.earn()
 	l := r.line(q)
-	j := &job{request: q, ran: attempt.RanNo}
+	j := newJob(q)
 	if !l.busy() {
 		reply, full := r.round(ctx, j)
 		if reply != nil {
@@ -244,8 +254,12 @@
 // be sent.
 func (r *Router) learn(ctx context.Context, j *job, f *flight, e *end) bool {
 	now := time.Now()
-	j.tried = append(j.tried, f.agent.Incarnation)
+	if e.reason != attempt.ReasonFenced {
+		// An agent that fences has just answered: only the way to it had failed.
+		j.tried = append(j.tried, f.agent.Incarnation)
+	}
 	switch e.reason {
+	case attempt.ReasonFenced:
 	case attempt.ReasonFull, attempt.ReasonShare:
 		j.full++
 		r.chooser.Full(now, f.agent.Incarnation, e.after)
