weights/chunk: ratio to the links' limit, measured and mended

The experiment spreads a version over links whose rates are scaled to one host and compares with the least time that they allow.

An importer shrank its window because questions to other regions took long, but it was its own and its peers' links that were busy, not the way between regions; and it did not ask those who had the chunks first.

Each tick compared all peers with all, and strangers were asked at every tick, so that connections were opened and closed all the time. Peers are met twice a second, holders are counted as bitmaps arrive, strangers are asked once a second.

--- /dev/null
+++ b/internal/bench/control/config.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"fulmardeal/internal/fleet/configuration"
+	"fulmardeal/internal/standin/platform"
+)
+
+// Scenario is how the log is while changes are made.
+type Scenario string
+
+// Scenarios.
+const (
+	LogUp   Scenario = "up"
+	LogDown Scenario = "down" // from the moment that the change was accepted and read once
+	LogSlow Scenario = "slow"
+	Bursts  Scenario = "burst" // many changes at once
+)
+
+// changes is how many changes a scenario makes, and burst how many at once.
+const (
+	changes = 10
+	burst   = 50
+)
+
+// Lag is the report of one scenario.
+type Lag struct {
+	Members  int      `json:"members"`
+	Scenario Scenario `json:"scenario"`
+	Accepted int      `json:"accepted"`
+	Refused  int      `json:"refused"`
+	Reverted int      `json:"reverted"` // broken invariants of the version in force
+	Lag      float64  `json:"lag"`      // seconds, p50 over nodes and changes
+	Worst    float64  `json:"worst"`    // seconds
+	Appends  int      `json:"appends"`
+}
+
+// String returns the report as a line.
+func (l Lag) String() string {
+	return fmt.Sprintf("members %4d log %-5s accepted %d refused %d reverted %d lag %.2f s worst %.2f s appends %d",
+		l.Members, l.Scenario, l.Accepted, l.Refused, l.Reverted, l.Lag, l.Worst, l.Appends)
+}
+
+// Config measures how fast changes are in force in fleets of the sizes.
+func Config(ctx context.Context, s Settings, sizes []int) ([]Lag, error) {
+	var out []Lag
+	for _, n := range sizes {
+		f, err := start(ctx, n, site(10, 1))
+		if err != nil {
+			return out, err
+		}
+		for _, sc := range []Scenario{LogUp, LogSlow, LogDown, Bursts} {
+			l, err := f.lag(ctx, sc)
+			if err != nil {
+				f.close()
+				return out, fmt.Errorf("%d members, log %s: %w", n, sc, err)
+			}
+			fmt.Fprintln(s.Out, l)
+			out = append(out, l)
+		}
+		f.close()
+	}
+	return out, nil
+}
+
+// lag makes the changes of a scenario and measures each.
+func (f *fleet) lag(ctx context.Context, sc Scenario) (Lag, error) {
+	before := f.log.Appends()
+	l := Lag{Members: len(f.nodes), Scenario: sc}
+	f.log.Set(platform.Faults{})
+	var all []time.Duration
+	for i := range changes {
+		times, err := f.change(ctx, sc, i)
+		if err != nil {
+			return l, err
+		}
+		all = append(all, times...)
+	}
+	f.log.Set(platform.Faults{})
+	slices.Sort(all)
+	l.Lag = all[len(all)/2].Seconds()
+	l.Worst = all[len(all)-1].Seconds()
+	l.Reverted = f.book.Count()
+	l.Appends = f.log.Appends() - before
+	l.Accepted = l.Appends // none of them races another
+	return l, nil
+}
+
+func (f *fleet) change(ctx context.Context, sc Scenario, i int) ([]time.Duration, error) {
+	n := 1
+	if sc == Bursts {
+		n = burst
+	}
+	for j := range n {
+		name := fmt.Sprintf("%s%d-%d", sc, i, j)
+		if _, err := f.apply(ctx, name, change(name)); err != nil {
+			return nil, err
+		}
+	}
+	switch sc {
+	case LogDown:
+		defer f.log.Set(platform.Faults{})
+		go f.downOnceRead()
+	case LogSlow:
+		f.log.Set(platform.Faults{Delay: "400ms"})
+	}
+	return f.await(forceWait)
+}
+
+// downOnceRead takes the log down as soon as any node has the last version.
+func (f *fleet) downOnceRead() {
+	end := time.Now().Add(forceWait)
+	for time.Now().Before(end) {
+		for _, n := range f.nodes {
+			if n.Store().Version() >= f.version {
+				f.log.Set(platform.Faults{Down: true})
+				return
+			}
+		}
+		time.Sleep(lookEvery)
+	}
+}
+
+// change returns a change that adds a customer.
+func change(name string) configuration.Document {
+	return configuration.Document{Customer: []configuration.CustomerEntry{{Name: name, Key: configuration.HashKey(name)}}}
+}
--- /dev/null
+++ b/internal/bench/control/control.go
@@ -0,0 +1,240 @@
+// Package control measures what it costs to keep processes informed: how fast a
+// change of the configuration is in force in all of them, and what processor
+// time, memory and bytes one process spends on control as the fleet, the
+// endpoints, the customers and the models grow.
+//
+// The nodes are the product's own, many in one process over connections in
+// memory; the log and the list of instances are stand-ins.
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"fulmardeal"
+	"fulmardeal/internal/fleet/configuration"
+	"fulmardeal/internal/process/node"
+	"fulmardeal/internal/process/settings"
+	"fulmardeal/internal/proof/invariant"
+	"fulmardeal/internal/standin/network"
+	"fulmardeal/internal/standin/platform"
+)
+
+const (
+	dataCentres = 6
+	regions     = 3
+	startWait   = 60 * time.Second
+	forceWait   = 60 * time.Second
+	lookEvery   = 10 * time.Millisecond
+	joinAtOnce  = 32
+)
+
+// meter counts the bytes that one process's connections carry.
+type meter struct {
+	fulmardeal.Network
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+func (m *meter) Dial(ctx context.Context, address string) (net.Conn, error) {
+	c, err := m.Network.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &metered{Conn: c, meter: m}, nil
+}
+
+type metered struct {
+	net.Conn
+	meter *meter
+}
+
+func (c *metered) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.received.Add(int64(n))
+	return n, err
+}
+
+func (c *metered) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.sent.Add(int64(n))
+	return n, err
+}
+
+// fleet is a number of running nodes.
+type fleet struct {
+	log       *platform.Log
+	directory *platform.Directory
+	meter     *meter
+	book      *invariant.Book
+	nodes     []*node.Node
+	closers   []func()
+	stop      context.CancelFunc
+	done      errgroup.Group
+	version   fulmardeal.Offset
+}
+
+// site returns a configuration with a number of customers and models.
+func site(customers, models int) configuration.Document {
+	d := configuration.Document{
+		Service: []configuration.ServiceEntry{{Name: "llm", Kind: configuration.ServiceModel, Limit: 16, Cold: 4}},
+		Traffic: []configuration.TrafficEntry{{Name: "all"}},
+	}
+	for i := range dataCentres {
+		d.DataCentre = append(d.DataCentre, configuration.DataCentreEntry{
+			Name:   fmt.Sprintf("dc%d", i),
+			Region: fmt.Sprintf("region%d", i%regions),
+		})
+	}
+	for i := range customers {
+		name := fmt.Sprintf("customer%d", i)
+		d.Customer = append(d.Customer, configuration.CustomerEntry{Name: name, Key: configuration.HashKey(name)})
+	}
+	for i := range models {
+		name := fmt.Sprintf("model%d", i)
+		d.Model = append(d.Model, configuration.ModelEntry{
+			Name: name, Version: "v1", Digest: configuration.HashKey(name), At: "service=llm", Replicas: 4,
+		})
+	}
+	return d
+}
+
+// start starts a fleet and waits until all have the configuration.
+func start(ctx context.Context, members int, d configuration.Document) (*fleet, error) {
+	ctx, stop := context.WithCancel(ctx)
+	f := &fleet{
+		log:       platform.NewLog(0),
+		directory: platform.NewDirectory(0, time.Minute),
+		meter:     &meter{Network: &network.Memory{}},
+		book:      &invariant.Book{},
+		stop:      stop,
+	}
+	if _, err := f.apply(ctx, "site", d); err != nil {
+		stop()
+		return nil, err
+	}
+	for i := range members {
+		if err := f.add(ctx, i); err != nil {
+			f.close()
+			return nil, err
+		}
+		if i%joinAtOnce == 0 {
+			time.Sleep(lookEvery)
+		}
+	}
+	if _, err := f.await(startWait); err != nil {
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) add(ctx context.Context, i int) error {
+	dc := i % dataCentres
+	n, cleanup, err := node.New(node.Options{
+		Settings: settings.Process{
+			Name:       fmt.Sprintf("node%d", i),
+			DataCentre: fmt.Sprintf("dc%d", dc),
+			Region:     fmt.Sprintf("region%d", dc%regions),
+			Listen:     fmt.Sprintf("node%d:0", i),
+			Home:       "region0",
+		},
+		Role:      fulmardeal.RoleAgent,
+		Network:   f.meter,
+		Log:       f.log,
+		Directory: f.directory,
+		Logger:    slog.New(slog.DiscardHandler),
+		Book:      f.book,
+		Seed:      uint64(i + 1),
+	})
+	if err != nil {
+		return err
+	}
+	f.nodes = append(f.nodes, n)
+	f.closers = append(f.closers, cleanup)
+	f.done.Go(func() error { return n.Run(ctx) })
+	return nil
+}
+
+func (f *fleet) close() {
+	f.stop()
+	_ = f.done.Wait() // nodes end without an error once they are told to
+	var g errgroup.Group
+	for _, c := range f.closers {
+		g.Go(func() error { c(); return nil })
+	}
+	_ = g.Wait() // the functions return no error
+}
+
+// apply appends a change that is based on the last version.
+func (f *fleet) apply(ctx context.Context, id string, d configuration.Document) (fulmardeal.Offset, error) {
+	body, err := configuration.EncodeChange(id, f.version, d)
+	if err != nil {
+		return 0, err
+	}
+	at, err := f.log.Append(ctx, configuration.Stream, body)
+	if err == nil {
+		f.version = at
+	}
+	return at, err
+}
+
+// await waits until every node has the last version, and returns each node's
+// time.
+func (f *fleet) await(most time.Duration) ([]time.Duration, error) {
+	begun := time.Now()
+	out := make([]time.Duration, len(f.nodes))
+	left := len(f.nodes)
+	for left > 0 {
+		if time.Since(begun) > most {
+			return nil, fmt.Errorf("%d of %d nodes lack version %d after %v", left, len(f.nodes), f.version, most)
+		}
+		for i, n := range f.nodes {
+			if out[i] == 0 && n.Store().Version() >= f.version {
+				out[i] = max(time.Since(begun), 1)
+				left--
+			}
+		}
+		time.Sleep(lookEvery)
+	}
+	return out, nil
+}
+
+// usage is what the whole fleet has spent so far.
+type usage struct {
+	cpu      time.Duration
+	sent     int64
+	received int64
+	at       time.Time
+}
+
+func (f *fleet) usage() usage {
+	var r syscall.Rusage
+	// Getrusage of the own process fails only on a faulty pointer.
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+	cpu := time.Duration(r.Utime.Nano() + r.Stime.Nano())
+	return usage{cpu: cpu, sent: f.meter.sent.Load(), received: f.meter.received.Load(), at: time.Now()}
+}
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// Settings describe a run.
+type Settings struct {
+	Seed uint64
+	For  time.Duration // of each measurement
+	Out  io.Writer
+}
--- /dev/null
+++ b/internal/bench/control/cost.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// Cost is what one process spends on control in a fleet of a size.
+type Cost struct {
+	Against string  `json:"against"` // what grows: members, customers or models
+	Size    int     `json:"size"`
+	Members int     `json:"members"`
+	Core    float64 `json:"core"`   // percent of a core
+	Memory  float64 `json:"memory"` // bytes
+	Bytes   float64 `json:"bytes"`  // a second, sent and received
+}
+
+// String returns the cost as a line.
+func (c Cost) String() string {
+	return fmt.Sprintf("%-9s %6d members %4d: %.4f%% of a core, %.2f MB, %.2f KB/s",
+		c.Against, c.Size, c.Members, c.Core, c.Memory/1e6, c.Bytes/1e3)
+}
+
+// Slope is a straight line through the costs by least squares.
+type Slope struct {
+	Against string  `json:"against"`
+	Figure  string  `json:"figure"`
+	Base    float64 `json:"base"`
+	Each    float64 `json:"each"`
+}
+
+// String returns the slope as a line.
+func (s Slope) String() string {
+	return fmt.Sprintf("%-9s %-6s = %.6g + %.6g × size", s.Against, s.Figure, s.Base, s.Each)
+}
+
+// Costs is the report of a run.
+type Costs struct {
+	Rows   []Cost  `json:"rows"`
+	Slopes []Slope `json:"slopes"`
+}
+
+// baseMembers is the fleet in which customers and models grow.
+const baseMembers = 24
+
+// settle is the time after a start until the fleet is at rest.
+const settle = 8 * time.Second
+
+// Control measures costs against members, customers and models.
+func Control(ctx context.Context, s Settings, members, others []int) (Costs, error) {
+	var out Costs
+	add := func(against string, size, members, customers, models int) error {
+		c, err := cost(ctx, s, members, customers, models)
+		if err != nil {
+			return fmt.Errorf("%s %d: %w", against, size, err)
+		}
+		c.Against, c.Size = against, size
+		fmt.Fprintln(s.Out, c)
+		out.Rows = append(out.Rows, c)
+		return nil
+	}
+	for _, n := range members {
+		if err := add("members", n, n, 10, 1); err != nil {
+			return out, err
+		}
+	}
+	for _, n := range others {
+		if err := add("customers", n, baseMembers, n, 1); err != nil {
+			return out, err
+		}
+	}
+	for _, n := range others {
+		if err := add("models", n, baseMembers, 10, n); err != nil {
+			return out, err
+		}
+	}
+	for _, against := range []string{"members", "customers", "models"} {
+		out.Slopes = append(out.Slopes, slopes(against, out.Rows)...)
+	}
+	for _, sl := range out.Slopes {
+		fmt.Fprintln(s.Out, sl)
+	}
+	return out, nil
+}
+
+// cost measures one fleet at rest, with a change of the configuration every
+// six seconds, which is the rate of 14,000 a day.
+func cost(ctx context.Context, s Settings, members, customers, models int) (Cost, error) {
+	empty := heap()
+	f, err := start(ctx, members, site(customers, models))
+	if err != nil {
+		return Cost{}, err
+	}
+	defer f.close()
+	time.Sleep(settle)
+
+	const changeEvery = 6 * time.Second
+	before := f.usage()
+	for i := 0; time.Since(before.at) < s.For; i++ {
+		name := fmt.Sprintf("change%d", i)
+		if _, err := f.apply(ctx, name, change(name)); err != nil {
+			return Cost{}, err
+		}
+		time.Sleep(min(changeEvery, s.For))
+	}
+	after := f.usage()
+
+	seconds := after.at.Sub(before.at).Seconds()
+	n := float64(members)
+	const percent = 100
+	return Cost{
+		Members: members,
+		Core:    percent * (after.cpu - before.cpu).Seconds() / seconds / n,
+		Memory:  (heap() - empty) / n,
+		// The meter stands at the dialling end, so each byte is counted once;
+		// it is sent by one process and received by another.
+		Bytes: 2 * float64(after.sent-before.sent+after.received-before.received) / seconds / n,
+	}, nil
+}
+
+// slopes fits a line through each figure of the rows against one thing.
+func slopes(against string, rows []Cost) []Slope {
+	var sizes, core, memory, bytes []float64
+	for _, r := range rows {
+		if r.Against != against {
+			continue
+		}
+		sizes = append(sizes, float64(r.Size))
+		core = append(core, r.Core)
+		memory = append(memory, r.Memory)
+		bytes = append(bytes, r.Bytes)
+	}
+	return []Slope{
+		fit(against, "core", sizes, core),
+		fit(against, "memory", sizes, memory),
+		fit(against, "bytes", sizes, bytes),
+	}
+}
+
+// fit returns the line of least squares.
+func fit(against, figure string, x, y []float64) Slope {
+	n := float64(len(x))
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		sx += x[i]
+		sy += y[i]
+		sxx += x[i] * x[i]
+		sxy += x[i] * y[i]
+	}
+	s := Slope{Against: against, Figure: figure}
+	if d := n*sxx - sx*sx; d != 0 {
+		s.Each = (n*sxy - sx*sy) / d
+		s.Base = (sy - s.Each*sx) / n
+	}
+	return s
+}
--- a/internal/cli/command/bench.go
+++ b/internal/cli/command/bench.go
@@ -9,7 +9,9 @@
 	"syscall"
 	"time"
 
+	"fulmardeal/internal/bench/control"
 	"fulmardeal/internal/bench/traffic"
+	"fulmardeal/internal/bench/weights"
 	"fulmardeal/internal/traffic/choice"
 )
 
@@ -28,6 +30,14 @@
 	Scenario []string      `long:"scenario" description:"Only this scenario; may be given again" value-name:"NAME"`
 	Seed     uint64        `long:"seed" description:"Seed of the random choices" default:"1"`
 	For      time.Duration `long:"for" description:"How long each part takes" default:"12s"`
+	Members  []int         `long:"members" description:"config, control: only this size of the fleet; may be given again"`
+	Replicas int           `long:"replicas" description:"weights: number of replicas" default:"15"`
+	Size     int           `long:"size" description:"weights: bytes of the version" default:"8388608"`
+	Chunk    int           `long:"chunk" description:"weights: bytes of a chunk" default:"65536"`
+	Window   time.Duration `long:"window" description:"weights: time in which the origin's link carries four copies" default:"10s"`
+	Regions  int           `long:"regions" description:"weights: number of regions" default:"3"`
+	Region   float64       `long:"region" description:"weights: megabits a second between two regions; 0 is no bound" default:"20"`
+	Faults   bool          `long:"faults" description:"weights: a fifth of the replicas die, one chunk in twenty arrives corrupt"`
 	Report   string        `long:"report" description:"Write the report there, in JSON" value-name:"FILE"`
 }
 
@@ -41,6 +51,12 @@
 	switch args[0] {
 	case "traffic":
 		return c.traffic(ctx)
+	case "weights":
+		return c.weights(ctx)
+	case "config":
+		return c.config(ctx)
+	case "control":
+		return c.control(ctx)
 	}
 	return &usageError{reason: fmt.Sprintf("no experiment is called %q", args[0])}
 }
@@ -67,6 +83,58 @@
 	return writeReport(c.Report, rows)
 }
 
+func (c *bench) config(ctx context.Context) error {
+	rows, err := control.Config(ctx, control.Settings{Seed: c.Seed, Out: c.env.out}, c.sizes([]int{22, 100, 1000}))
+	if err != nil {
+		return err
+	}
+	return writeReport(c.Report, rows)
+}
+
+func (c *bench) control(ctx context.Context) error {
+	s := control.Settings{Seed: c.Seed, For: c.For, Out: c.env.out}
+	costs, err := control.Control(ctx, s, c.sizes([]int{24, 48, 96, 192}), []int{100, 300, 1000, 3000})
+	if err != nil {
+		return err
+	}
+	return writeReport(c.Report, costs)
+}
+
+// sizes returns the fleets to measure.
+func (c *bench) sizes(usual []int) []int {
+	if len(c.Members) > 0 {
+		return c.Members
+	}
+	return usual
+}
+
+const bytesPerMegabit = 1e6 / 8
+
+func (c *bench) weights(ctx context.Context) error {
+	s := weights.Settings{
+		Seed:     c.Seed,
+		Replicas: c.Replicas,
+		Size:     c.Size,
+		Chunk:    c.Chunk,
+		Window:   c.Window,
+		Regions:  c.Regions,
+		FarRate:  c.Region * bytesPerMegabit,
+		Faults:   c.Faults,
+		Out:      c.env.out,
+	}
+	for _, p := range c.Policy {
+		s.Policies = append(s.Policies, weights.Policy(p))
+	}
+	if len(s.Policies) == 0 {
+		s.Policies = []weights.Policy{weights.PolicyDirect, weights.PolicyTree, weights.PolicySwarm}
+	}
+	rows, err := weights.Run(ctx, s)
+	if err != nil {
+		return err
+	}
+	return writeReport(c.Report, rows)
+}
+
 func names(all []traffic.Scenario) []string {
 	var out []string
 	for _, s := range all {
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -111,7 +111,7 @@
 }
 
 // poolSize bounds the connections to peers for chunks.
-const poolSize = 64
+const poolSize = 128
 
 func weightsNetwork(p Platform) fulmardeal.Network {
 	if p.Weights != nil {
--- a/internal/standin/network/fabric.go
+++ b/internal/standin/network/fabric.go
@@ -159,7 +159,7 @@
 	defer f.mu.Unlock()
 	var out []*link
 	if f.shape.NodeRate > 0 && a.Instance != b.Instance {
-		out = append(out, f.link("up/"+a.Instance, f.shape.NodeRate), f.link("down/"+b.Instance, f.shape.NodeRate))
+		out = f.nodeLinks(out, a, b)
 	}
 	if a.Region != b.Region {
 		out = append(out, f.link("far/"+a.Region+"/"+b.Region, f.shape.FarRate))
@@ -167,6 +167,18 @@
 	return out
 }
 
+// nodeLinks adds the links of the instances. A site without an instance has
+// none of its own. The lock is held.
+func (f *Fabric) nodeLinks(out []*link, a, b Site) []*link {
+	if a.Instance != "" {
+		out = append(out, f.link("up/"+a.Instance, f.shape.NodeRate))
+	}
+	if b.Instance != "" {
+		out = append(out, f.link("down/"+b.Instance, f.shape.NodeRate))
+	}
+	return out
+}
+
 // link returns the link of a name. The lock is held.
 func (f *Fabric) link(name string, bytesPerSecond float64) *link {
 	l, known := f.links[name]
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -40,6 +40,13 @@
 	return g.faults
 }
 
+// delay waits as long as the faults ask for.
+func (g *gate) delay(f Faults) {
+	if d, err := time.ParseDuration(f.Delay); err == nil {
+		time.Sleep(d)
+	}
+}
+
 func (g *gate) chance(p float64) bool {
 	if p <= 0 {
 		return false
@@ -60,9 +67,7 @@
 			return
 		}
 		f := g.get()
-		if d, err := time.ParseDuration(f.Delay); err == nil {
-			time.Sleep(d)
-		}
+		g.delay(f)
 		switch {
 		case f.Down:
 			http.Error(w, "down", http.StatusServiceUnavailable)
--- a/internal/standin/platform/log.go
+++ b/internal/standin/platform/log.go
@@ -38,6 +38,7 @@
 // Append adds a record.
 func (l *Log) Append(_ context.Context, name string, body []byte) (fulmardeal.Offset, error) {
 	f := l.get()
+	l.delay(f)
 	if f.Down {
 		return 0, &fulmardeal.BusyError{Service: "log", After: time.Second}
 	}
@@ -55,7 +56,9 @@
 
 // Read returns records from an offset on.
 func (l *Log) Read(_ context.Context, name string, from fulmardeal.Offset, most int) ([]fulmardeal.Record, error) {
-	if l.get().Down {
+	f := l.get()
+	l.delay(f)
+	if f.Down {
 		return nil, &fulmardeal.BusyError{Service: "log", After: time.Second}
 	}
 	l.state.Lock()
--- a/internal/weights/chunk/exchange.go
+++ b/internal/weights/chunk/exchange.go
@@ -19,8 +19,9 @@
 
 // Bounds and times of the exchange.
 const (
-	mostUploads  = 6
-	askEvery     = 250 * time.Millisecond
+	mostUploads  = 12
+	askEvery     = 100 * time.Millisecond
+	meetEvery    = 500 * time.Millisecond
 	askTimeout   = 2 * time.Second
 	fetchTimeout = 30 * time.Second
 	tickEvery    = 20 * time.Millisecond
@@ -178,10 +179,14 @@
 	defer func() { _ = g.Wait() }() // the functions below return no error
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
+	var met time.Time
 	for !s.Whole() {
 		now := time.Now()
-		s.Meet(now, peers())
-		for _, p := range s.Ask(now, askEvery) {
+		if now.Sub(met) >= meetEvery {
+			met = now
+			s.Meet(now, peers())
+		}
+		for _, p := range s.Ask(now) {
 			g.Go(func() error { x.ask(ctx, s, p); return nil })
 		}
 		if !x.rested(now) {
@@ -215,6 +220,7 @@
 func (x *Exchange) ask(ctx context.Context, s *Swarm, p Peer) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	defer s.Asked(p.Incarnation)
 	begun := time.Now()
 	var parcel Parcel
 	err := x.pool.Client(p.Address).Call(ctx, ServiceName+".Get", Want{Version: s.manifest.Version(), Index: -1}, &parcel)
--- a/internal/weights/chunk/plan.go
+++ b/internal/weights/chunk/plan.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// mostMisses bounds the chunks that a tick looks at in vain, because their
+// holders are busy.
+const mostMisses = 16
+
 // wanted is a chunk that is neither held nor under way.
 type wanted struct {
 	index   int
@@ -21,12 +25,16 @@
 	if len(s.under) >= mostFetches {
 		return out
 	}
+	misses := 0
 	for _, w := range s.rarest() {
-		if len(s.under) >= mostFetches {
+		if len(s.under) >= mostFetches || misses >= mostMisses {
 			break
 		}
 		f, ok := s.plan(now, w)
 		if !ok {
+			if w.holders > 0 {
+				misses++
+			}
 			continue
 		}
 		s.begin(now, f)
@@ -55,13 +63,7 @@
 		if s.has.Has(i) || slices.ContainsFunc(s.under, func(u fetch) bool { return u.index == i }) {
 			continue
 		}
-		w := wanted{index: i}
-		for _, p := range s.peers {
-			if p.Region == s.self.Region && p.has.Has(i) {
-				w.holders++
-			}
-		}
-		out = append(out, w)
+		out = append(out, wanted{index: i, holders: s.holders[i]})
 	}
 	s.random.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	slices.SortStableFunc(out, func(a, b wanted) int { return cmp.Compare(a.holders, b.holders) })
@@ -89,7 +91,7 @@
 		if f, ok := s.from(now, w.index, func(p *peer) bool { return p.Region == before }); ok {
 			return f, ok
 		}
-		if !s.late(now, w.index, chain[:at]) {
+		if !s.late(now, chain[:at]) {
 			return Fetch{}, false
 		}
 		if f, ok := s.from(now, w.index, func(*peer) bool { return true }); ok {
@@ -151,7 +153,8 @@
 }
 
 // responsible reports whether this agent is to import a chunk into its region:
-// it is the first candidate, or every candidate before it has stalled.
+// it is the first candidate, or every candidate before it has stalled. An agent
+// that is no candidate takes over only when nothing has come for a long time.
 func (s *Swarm) responsible(now time.Time, index int) bool {
 	for _, key := range s.imports[index] {
 		if key == s.self.Incarnation {
@@ -161,19 +164,31 @@
 			return false
 		}
 	}
-	return true
+	return now.Sub(s.gained) > desperate
 }
 
-// stalled reports whether a peer has had no new chunk for a while.
+// stalled reports whether a peer is known to have had no new chunk for a while.
+// Of a peer that was not asked lately nothing is known: it is to be asked.
 func (s *Swarm) stalled(now time.Time, p *peer) bool {
-	return now.Sub(p.gained) > stalled && now.Sub(s.began) > stalled
+	if now.Sub(p.gained) <= stalled || now.Sub(s.began) <= stalled {
+		return false
+	}
+	if now.Sub(p.learned) > freshFor {
+		p.wanted = true
+		return now.Sub(p.asked) > stalled && p.asked.After(p.learned) // asked, and silent since
+	}
+	return true
 }
 
 // late reports whether the regions before this one in a chunk's chain have had
-// no new chunk for a while, so that it must come from elsewhere.
-func (s *Swarm) late(now time.Time, index int, before []string) bool {
+// no new chunk for a while, as far as is known, so that it must come from
+// elsewhere.
+func (s *Swarm) late(now time.Time, before []string) bool {
+	if now.Sub(s.gained) <= stalled {
+		return false
+	}
 	for _, p := range s.peers {
-		if slices.Contains(before, p.Region) && !s.stalled(now, p) {
+		if slices.Contains(before, p.Region) && p.near && !s.stalled(now, p) {
 			return false
 		}
 	}
--- a/internal/weights/chunk/swarm.go
+++ b/internal/weights/chunk/swarm.go
@@ -31,9 +31,15 @@
 
 	// A peer asks the same few neighbours most often, so that its cost doesn't
 	// grow with the swarm, and some others in turn.
-	nearNeighbours = 12
-	farNeighbours  = 6
+	nearNeighbours = 10
+	farNeighbours  = 4
 	strangers      = 2
+	roamEvery      = time.Second
+	mostSources    = 8
+
+	// A peer asks each neighbour as often as its number of neighbours allows.
+	askEach  = 15 * time.Millisecond
+	askLeast = 100 * time.Millisecond
 
 	// candidates is how many agents of a region may come to import a chunk.
 	candidates = 3
@@ -42,17 +48,27 @@
 	// passed over by the next one.
 	stalled = 5 * time.Second
 
+	// freshFor is how long a bitmap tells whether its peer has stalled.
+	freshFor = 2 * time.Second
+
+	// desperate is the time without any new chunk after which an agent no
+	// longer leaves imports to their candidates.
+	desperate = 20 * time.Second
+
 	// A peer that was slow or wrong is set aside, for longer each time.
 	asideFirst = time.Second
 	asideMost  = 30 * time.Second
 
 	// The window of fetches from other regions grows with each chunk and
 	// shrinks when the way there becomes slow: weights yield to requests.
-	windowLeast = 1.0
+	windowLeast = 2.0
 	windowMost  = 8.0
 	windowGain  = 0.25
-	slowWay     = 25 * time.Millisecond
+	slowWay     = 150 * time.Millisecond
 	slowWait    = 200 * time.Millisecond
+
+	// aroundWeight divides the weight of one question in a mean.
+	aroundWeight = 8
 )
 
 // Peer is another agent of the swarm.
@@ -77,6 +93,9 @@
 	near     bool      // one of the neighbours
 	gained   time.Time // when it last had a new chunk
 	asked    time.Time // when its bitmap was last asked for
+	learned  time.Time // when it last told its bitmap
+	wanted   bool      // its bitmap is needed, neighbour or not
+	asking   bool      // an answer is awaited
 	fetches  int
 	failures int
 	aside    time.Time
@@ -100,18 +119,23 @@
 	home     string // the origin's region, empty when unknown
 	random   *rand.Rand
 	began    time.Time
+	gained   time.Time // when this agent last had a new chunk
 	has      Bitmap
 	peers    []*peer // sorted by incarnation
+	holders  []int   // for each chunk, the peers of this region that hold it
 	under    []fetch
 	chains   [][]string // for each chunk, the regions in order
 	imports  [][]string // for each chunk, this region's candidates in order
 	regions  []string
 	window   float64
 	slowed   time.Time
-	nearest  time.Duration // least time seen to another region
+	nearest  time.Duration // least time of a question to another region
+	around   time.Duration // mean time of a question inside the region
 	corrupt  int
 	drawn    int64
-	resting  bool          // the origin is not to be asked in the next tick
+	resting  bool // the origin is not to be asked in the next tick
+	askEvery time.Duration
+	roamed   time.Time     // when strangers were last asked
 	wake     chan struct{} // has a token when a fetch has ended
 }
 
@@ -126,6 +150,7 @@
 		home:     home,
 		random:   rand.New(rand.NewPCG(seed, 3)),
 		began:    now,
+		gained:   now,
 		has:      NewBitmap(m.Chunks()),
 		window:   windowMost / 2,
 		wake:     make(chan struct{}, 1),
@@ -182,9 +207,8 @@
 		if p.Incarnation == s.self.Incarnation {
 			continue
 		}
-		i := slices.IndexFunc(s.peers, func(x *peer) bool { return x.Incarnation == p.Incarnation })
-		if i >= 0 {
-			next = append(next, s.peers[i])
+		if known := s.peer(p.Incarnation); known != nil {
+			next = append(next, known)
 			continue
 		}
 		next = append(next, &peer{Peer: p, has: NewBitmap(s.manifest.Chunks()), gained: now})
@@ -194,11 +218,46 @@
 		return
 	}
 	s.peers = next
+	s.recount()
 	s.chain()
 	s.rank()
 	s.befriend()
 }
 
+// recount counts the holders of each chunk in this region.
+func (s *Swarm) recount() {
+	s.holders = make([]int, s.manifest.Chunks())
+	for _, p := range s.peers {
+		if p.Region == s.self.Region {
+			s.tally(p.has, 1)
+		}
+	}
+}
+
+// tally adds n to the holders of the chunks in a bitmap.
+func (s *Swarm) tally(has Bitmap, n int) {
+	for i := range s.holders {
+		if has.Has(i) {
+			s.holders[i] += n
+		}
+	}
+}
+
+// holds takes a peer's newer bitmap.
+func (s *Swarm) holds(now time.Time, p *peer, has Bitmap) {
+	if len(has) != len(s.has) || slices.Equal(has, p.has) {
+		return
+	}
+	if has.Count() > p.has.Count() {
+		p.gained = now
+	}
+	if p.Region == s.self.Region {
+		s.tally(p.has, -1)
+		s.tally(has, 1)
+	}
+	p.has = has
+}
+
 // rank works out the candidates of this region for importing each chunk.
 func (s *Swarm) rank() {
 	names := []string{s.self.Incarnation}
@@ -209,12 +268,13 @@
 	}
 	s.imports = make([][]string, s.manifest.Chunks())
 	for i := range s.imports {
-		order := membership.Order(fmt.Sprintf("import/%v/%d", s.manifest.Version(), i), names)
+		order := membership.Order(s.importJob(i), names)
 		s.imports[i] = slices.Clone(order[:min(candidates, len(order))])
 	}
 }
 
-// befriend chooses the neighbours, near and far.
+// befriend chooses the neighbours: some of the own region, some of others, and
+// those from whom this agent is to import chunks.
 func (s *Swarm) befriend() {
 	var near, far []string
 	for _, p := range s.peers {
@@ -228,9 +288,50 @@
 	near = membership.Order(job, near)
 	far = membership.Order(job, far)
 	chosen := append(near[:min(nearNeighbours, len(near))], far[:min(farNeighbours, len(far))]...)
+	chosen = append(chosen, s.sources()...)
 	for _, p := range s.peers {
 		p.near = slices.Contains(chosen, p.Incarnation)
 	}
+	s.askEvery = max(askLeast, time.Duration(len(chosen))*askEach)
+}
+
+// sources returns the importers before this agent in the chains of the chunks
+// that it is the first to import: they have those chunks soonest.
+func (s *Swarm) sources() []string {
+	var out []string
+	for i, order := range s.imports {
+		at := slices.Index(s.chains[i], s.self.Region)
+		if order[0] != s.self.Incarnation || at < 1 {
+			continue
+		}
+		first := s.importer(i, s.chains[i][at-1])
+		if first != "" && !slices.Contains(out, first) {
+			out = append(out, first)
+		}
+		if len(out) == mostSources {
+			break
+		}
+	}
+	return out
+}
+
+// importer returns the first candidate of a region for importing a chunk.
+func (s *Swarm) importer(index int, region string) string {
+	job := s.importJob(index)
+	best, high := "", uint64(0)
+	for _, p := range s.peers {
+		if p.Region != region {
+			continue
+		}
+		if x := membership.Score(job, p.Incarnation); best == "" || x > high {
+			best, high = p.Incarnation, x
+		}
+	}
+	return best
+}
+
+func (s *Swarm) importJob(index int) string {
+	return fmt.Sprintf("import/%v/%d", s.manifest.Version(), index)
 }
 
 // chain works out the order of regions for each chunk.
@@ -264,21 +365,22 @@
 	if p == nil || len(has) != len(s.has) {
 		return
 	}
-	if has.Count() > p.has.Count() {
-		p.gained = now
-	}
-	p.has = has
-	if p.Region != s.self.Region {
-		s.yield(now, took)
+	p.learned = now
+	s.holds(now, p, has)
+	if p.Region == s.self.Region {
+		s.around += (took - s.around) / aroundWeight
+		return
 	}
+	s.yield(now, took)
 }
 
-// yield shrinks the window when the way to other regions has become slow.
+// yield shrinks the window when the way to other regions has become slow. What
+// questions inside the region take is left out: that is this agent's own link.
 func (s *Swarm) yield(now time.Time, took time.Duration) {
 	if s.nearest == 0 || took < s.nearest {
 		s.nearest = took
 	}
-	if took > s.nearest+slowWay && now.Sub(s.slowed) > slowWait {
+	if took-s.around > s.nearest+slowWay && now.Sub(s.slowed) > slowWait {
 		s.window = max(windowLeast, s.window/2)
 		s.slowed = now
 	}
@@ -295,30 +397,43 @@
 }
 
 // Ask returns the peers whose bitmaps should be asked for now: the neighbours
-// that were not asked lately, and a few others.
-func (s *Swarm) Ask(now time.Time, every time.Duration) []Peer {
+// that were not asked lately, and a few others. Asked must follow for each.
+func (s *Swarm) Ask(now time.Time) []Peer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []Peer
-	others := strangers
+	others := 0
+	if now.Sub(s.roamed) >= roamEvery {
+		s.roamed = now
+		others = strangers
+	}
 	start := s.random.IntN(max(1, len(s.peers)))
 	for i := range s.peers {
 		p := s.peers[(start+i)%len(s.peers)]
-		if now.Sub(p.asked) < every || now.Before(p.aside) || p.has.Count() == s.manifest.Chunks() {
+		if p.asking || now.Sub(p.asked) < s.askEvery || now.Before(p.aside) || p.has.Count() == s.manifest.Chunks() {
 			continue
 		}
-		if !p.near {
+		if !p.near && !p.wanted {
 			if others == 0 {
 				continue
 			}
 			others--
 		}
-		p.asked = now
+		p.asked, p.asking, p.wanted = now, true, false
 		out = append(out, p.Peer)
 	}
 	return out
 }
 
+// Asked ends a question to a peer.
+func (s *Swarm) Asked(incarnation string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.peer(incarnation); p != nil {
+		p.asking = false
+	}
+}
+
 // Stored marks chunks that are already in the store, after a restart or from
 // another version.
 func (s *Swarm) Stored(index int) {
@@ -333,6 +448,7 @@
 	defer s.mu.Unlock()
 	s.end(f)
 	s.has.Set(f.Index)
+	s.gained = now
 	if f.Peer == nil {
 		s.drawn += int64(s.manifest.ChunkSize(f.Index))
 		return
@@ -342,9 +458,7 @@
 		return
 	}
 	p.failures = 0
-	if len(has) == len(s.has) {
-		p.has = has
-	}
+	s.holds(now, p, has)
 	if p.Region != s.self.Region {
 		s.window = min(windowMost, s.window+windowGain/s.window)
 	}
@@ -363,9 +477,7 @@
 	if p == nil {
 		return
 	}
-	if len(has) == len(s.has) {
-		p.has = has
-	}
+	s.holds(now, p, has)
 	p.aside = now.Add(time.Duration(10+s.random.IntN(30)) * time.Millisecond)
 }
 
@@ -415,3 +527,21 @@
 	defer s.mu.Unlock()
 	return Progress{Held: s.has.Count(), Chunks: s.manifest.Chunks(), Under: len(s.under), Peers: len(s.peers)}
 }
+
+// Debug x.
+func (s *Swarm) Debug() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := 0
+	for i := range s.manifest.Chunks() {
+		if !s.has.Has(i) {
+			for _, p := range s.peers {
+				if p.Region == s.self.Region && p.has.Has(i) {
+					known++
+					break
+				}
+			}
+		}
+	}
+	return fmt.Sprintf("window %.1f fetchable %d", s.window, known)
+}
