--- /dev/null
+++ b/internal/fleet/membership/table_test.go
@@ -0,0 +1,111 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fulmardeal"
+	"fulmardeal/internal/proof/seed"
+)
+
+func TestMain(m *testing.M) { seed.Main(m) }
+
+func instance(i int) fulmardeal.Instance {
+	return fulmardeal.Instance{Name: fmt.Sprint("p", i), Incarnation: fmt.Sprint("i", i)}
+}
+
+// TestConverge lets processes talk to each other while some die, exchanges are
+// lost and the platform's list lags: in the end each that lives knows all that
+// live, and none that died.
+func TestConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(t, "processes")
+		now := time.Unix(1000, 0)
+		var tables []*Table
+		dead := make([]bool, n)
+		var list []fulmardeal.Instance
+		for i := range n {
+			tables = append(tables, NewTable(instance(i), uint64(i+1)))
+			list = append(list, instance(i))
+		}
+		lossy := true
+		round := func() {
+			now = now.Add(time.Second)
+			for i, a := range tables {
+				if dead[i] {
+					continue
+				}
+				a.Listed(now, list) // also those that have died meanwhile
+				a.Tick(now)
+				in, ok := a.Probe()
+				if !ok {
+					continue
+				}
+				var j int
+				if _, err := fmt.Sscanf(in.Name, "p%d", &j); err != nil {
+					t.Fatal(err)
+				}
+				if dead[j] || lossy && rapid.IntRange(0, 9).Draw(t, "lost") == 0 {
+					a.Missed(now, in.Incarnation)
+					continue
+				}
+				b := tables[j]
+				b.Met(now, a.Self())
+				b.Hear(now, a.Tell())
+				a.Met(now, b.Self())
+				a.Hear(now, b.Tell())
+			}
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "rounds") {
+			round()
+			if rapid.IntRange(0, 9).Draw(t, "death") == 0 {
+				dead[rapid.IntRange(0, n-1).Draw(t, "victim")] = true
+			}
+		}
+		lossy = false
+		for range 60 {
+			round()
+		}
+
+		for i, a := range tables {
+			if dead[i] {
+				continue
+			}
+			known := make(map[string]State)
+			for _, m := range a.Members() {
+				known[m.Instance().Name] = m.State()
+			}
+			for j := range n {
+				s, here := known[fmt.Sprint("p", j)]
+				if dead[j] && here && i != j {
+					t.Errorf("p%d still lists p%d, which died, as %v", i, j, s)
+				}
+				if !dead[j] && (!here || s != Alive) {
+					t.Errorf("p%d doesn't know that p%d lives (known %t, %v)", i, j, here, s)
+				}
+			}
+		}
+	})
+}
+
+// TestReturned checks that a process which comes back under its name is not
+// taken for its predecessor.
+func TestReturned(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := NewTable(instance(0), 1)
+	old := instance(1)
+	a.Met(now, News{Instance: old, Beat: 5})
+	next := old
+	next.Incarnation = "second"
+	a.Replaced(now, old.Incarnation)
+	a.Met(now, News{Instance: next, Beat: 1})
+	a.Listed(now, []fulmardeal.Instance{old}) // the list lags
+
+	members := a.Members()
+	if len(members) != 2 || members[1].Instance().Incarnation != "second" {
+		t.Errorf("members %+v, want self and the second incarnation", members)
+	}
+}
--- /dev/null
+++ b/internal/weights/chunk/main_test.go
@@ -0,0 +1,9 @@
+package chunk
+
+import (
+	"testing"
+
+	"fulmardeal/internal/proof/seed"
+)
+
+func TestMain(m *testing.M) { seed.Main(m) }
--- /dev/null
+++ b/internal/weights/chunk/swarm_test.go
@@ -0,0 +1,261 @@
+package chunk
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fulmardeal"
+	"fulmardeal/internal/proof/invariant"
+	"fulmardeal/internal/weights/manifest"
+)
+
+var version = fulmardeal.Version{Model: "verse", Name: "v1"}
+
+// build returns a manifest of n chunks.
+func build(t interface{ Fatal(...any) }, n int) (*manifest.Manifest, [][]byte) {
+	const size = 64
+	var chunks [][]byte
+	data, err := manifest.Build(version, &counting{left: n * size}, size, func(_ int, c []byte) error {
+		chunks = append(chunks, c)
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := manifest.Parse(version, manifest.Sum(data), data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m, chunks
+}
+
+// counting gives bytes that differ from chunk to chunk.
+type counting struct {
+	left, at int
+}
+
+func (c *counting) Read(p []byte) (int, error) {
+	if c.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(p), c.left)
+	for i := range n {
+		c.at++
+		p[i] = byte(c.at ^ c.at>>8)
+	}
+	c.left -= n
+	return n, nil
+}
+
+// model runs swarms by hand, in virtual time, with faults.
+type model struct {
+	swarms []*Swarm
+	dead   []bool
+	moving []move
+	drawn  int
+	random *rand.Rand
+	now    time.Time
+	bad    float64 // part of the fetches that fail or come corrupt
+	down   bool    // the origin
+}
+
+// move is a fetch under way.
+type move struct {
+	to    int
+	fetch Fetch
+	due   time.Time
+}
+
+func (m *model) peers(lag bool) []Peer {
+	var out []Peer
+	for i, s := range m.swarms {
+		if !m.dead[i] || lag {
+			out = append(out, s.self)
+		}
+	}
+	return out
+}
+
+func (m *model) find(p *Peer) int {
+	return slices.IndexFunc(m.swarms, func(s *Swarm) bool { return s.self.Incarnation == p.Incarnation })
+}
+
+// step lets a tenth of a second pass.
+func (m *model) step(lag bool) {
+	m.now = m.now.Add(100 * time.Millisecond)
+	var still []move
+	for _, v := range m.moving {
+		if m.now.Before(v.due) {
+			still = append(still, v)
+			continue
+		}
+		m.land(v)
+	}
+	m.moving = still
+	for i, s := range m.swarms {
+		if m.dead[i] {
+			continue
+		}
+		s.Meet(m.now, m.peers(lag))
+		for _, p := range s.Ask(m.now) {
+			s.Asked(p.Incarnation)
+			if j := m.find(&p); !m.dead[j] {
+				s.Learn(m.now, p.Incarnation, m.swarms[j].Have(), time.Millisecond)
+			}
+		}
+		for _, f := range s.Tick(m.now) {
+			took := time.Duration(50+m.random.IntN(400)) * time.Millisecond
+			m.moving = append(m.moving, move{to: i, fetch: f, due: m.now.Add(took)})
+		}
+	}
+}
+
+func (m *model) land(v move) {
+	s := m.swarms[v.to]
+	switch {
+	case m.dead[v.to]:
+	case v.fetch.Peer == nil && m.down:
+		s.Failed(m.now, v.fetch, false)
+	case v.fetch.Peer != nil && m.dead[m.find(v.fetch.Peer)]:
+		s.Failed(m.now, v.fetch, false)
+	case m.random.Float64() < m.bad:
+		s.Failed(m.now, v.fetch, m.random.IntN(2) == 0)
+	case v.fetch.Peer == nil:
+		m.drawn++
+		s.Got(m.now, v.fetch, nil)
+	default:
+		from := m.swarms[m.find(v.fetch.Peer)]
+		if !from.Have().Has(v.fetch.Index) {
+			s.Missed(m.now, v.fetch, from.Have())
+			return
+		}
+		s.Got(m.now, v.fetch, from.Have())
+	}
+}
+
+func (m *model) whole() bool {
+	for i, s := range m.swarms {
+		if !m.dead[i] && !s.Whole() {
+			return false
+		}
+	}
+	return true
+}
+
+func newModel(t interface{ Fatal(...any) }, n, chunks int, seed uint64) *model {
+	man, _ := build(t, chunks)
+	m := &model{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), dead: make([]bool, n)}
+	for i := range n {
+		p := Peer{Incarnation: fmt.Sprintf("p%03d", i), Name: fmt.Sprintf("p%03d", i), Region: fmt.Sprintf("r%d", i%3)}
+		m.swarms = append(m.swarms, NewSwarm(man, p, "r0", m.now, seed+uint64(i), &invariant.Book{}))
+	}
+	return m
+}
+
+// TestSpread lets agents die and come back to nobody, chunks fail and arrive
+// corrupt, the origin go down and the live list lag: once the faults stop, all
+// that live become whole, and the origin is drawn few times.
+func TestSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "agents")
+		chunks := rapid.IntRange(1, 40).Draw(t, "chunks")
+		m := newModel(t, n, chunks, rapid.Uint64().Draw(t, "seed"))
+		m.bad = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "bad")
+		faulty := m.bad > 0
+		for range rapid.IntRange(0, 100).Draw(t, "steps") {
+			m.step(true)
+			switch rapid.IntRange(0, 30).Draw(t, "event") {
+			case 0:
+				m.dead[rapid.IntRange(0, n-1).Draw(t, "victim")] = true
+				faulty = true
+			case 1:
+				m.down = !m.down
+				faulty = true
+			}
+		}
+		m.bad, m.down = 0, false
+		for i := 0; !m.whole(); i++ {
+			if i > 3000 {
+				t.Fatalf("not whole five minutes after the faults stopped: %+v", m.progress())
+			}
+			m.step(false)
+		}
+		if !faulty && m.drawn != chunks {
+			t.Fatalf("%d chunks drawn from the origin without any fault, want %d", m.drawn, chunks)
+		}
+		if m.drawn > 4*chunks+n {
+			t.Fatalf("%d chunks drawn from the origin, for %d", m.drawn, chunks)
+		}
+	})
+}
+
+func (m *model) progress() []Progress {
+	var out []Progress
+	for _, s := range m.swarms {
+		out = append(out, s.Progress())
+	}
+	return out
+}
+
+// TestCorruptChunks checks that nothing wrong passes a manifest.
+func TestCorruptChunks(t *testing.T) {
+	m, chunks := build(t, 3)
+	wrong := slices.Clone(chunks[0])
+	wrong[5] ^= 1
+	tests := []struct {
+		name  string
+		index int
+		data  []byte
+		good  bool
+	}{
+		{"good", 0, chunks[0], true},
+		{"one bit", 0, wrong, false},
+		{"short", 0, chunks[0][:10], false},
+		{"another chunk", 0, chunks[1], false},
+		{"beyond the end", 3, chunks[0], false},
+		{"before the start", -1, chunks[0], false},
+		{"empty", 0, nil, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			if err := m.Verify(tc.index, tc.data); (err == nil) != tc.good {
+				t.Errorf("Verify: %v, want good %t", err, tc.good)
+			}
+		})
+	}
+}
+
+// TestLyingManifests checks that a manifest that doesn't fit is refused, also
+// when its digest is the one that was asked for.
+func TestLyingManifests(t *testing.T) {
+	const zero = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+	tests := []struct {
+		name string
+		text string
+	}{
+		{"size", `{"model":"verse","version":"v1","size":1000,"chunk":64,"digest":"` + zero + `","chunks":["` + zero + `"]}`},
+		{"nothing", `{"model":"verse","version":"v1","size":0,"chunk":64,"digest":"` + zero + `","chunks":[]}`},
+		{"negative", `{"model":"verse","version":"v1","size":-5,"chunk":64,"digest":"` + zero + `","chunks":[]}`},
+		{"another model", `{"model":"other","version":"v1","size":10,"chunk":64,"digest":"` + zero + `","chunks":["` + zero + `"]}`},
+		{"digest", `{"model":"verse","version":"v1","size":10,"chunk":64,"digest":"xy","chunks":["` + zero + `"]}`},
+		{"large chunks", `{"model":"verse","version":"v1","size":10,"chunk":99999999,"digest":"` + zero + `","chunks":["` + zero + `"]}`},
+		{"not JSON", `size = 10`},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			data := []byte(tc.text)
+			if _, err := manifest.Parse(version, manifest.Sum(data), data); err == nil {
+				t.Error("accepted")
+			}
+			if _, err := manifest.Parse(version, manifest.Sum([]byte("x")), data); err == nil {
+				t.Error("accepted under another digest")
+			}
+		})
+	}
+}
