fleet/membership: the same few partners in place of anybody

Cause: with 1,000 nodes in one process the host was out of processor time and 5 GB of memory without finishing its start. Every node probed members in turn, so that each came to hold hundreds of connections, and net/rpc describes its types anew on each. A node now talks to two neighbours in a hashed ring, so that everybody is watched, and to six hashed for it; views that are derived from the members are kept until the members change.

--- a/internal/cli/command/script_test.go
+++ b/internal/cli/command/script_test.go
@@ -42,6 +42,8 @@
 			"signal": cmdSignal,
 			"large":  cmdLarge,
 			"idle":   cmdIdle,
+			"during": cmdDuring,
+			"sleep":  cmdSleep,
 		},
 	})
 }
@@ -164,6 +166,52 @@
 	fmt.Fprintf(ts.Stdout(), "%s\n", line)
 }
 
+// cmdDuring sends a request, and a signal to background processes once its
+// answer has begun, or without one once it is on its way; then it prints the
+// rest: during SIGNAL FILE METHOD URL ….
+func cmdDuring(ts *testscript.TestScript, _ bool, args []string) {
+	r := request(ts, args[2:])
+	begun := make(chan *http.Response, 1)
+	failed := make(chan error, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			failed <- err
+			return
+		}
+		begun <- resp
+	}()
+
+	var resp *http.Response
+	select {
+	case resp = <-begun:
+		cmdSignal(ts, false, args[:2])
+	case err := <-failed:
+		ts.Check(err)
+	case <-time.After(time.Second):
+		cmdSignal(ts, false, args[:2])
+		select {
+		case resp = <-begun:
+		case err := <-failed:
+			ts.Check(err)
+		}
+	}
+	if args[0] == "STOP" {
+		time.Sleep(time.Second)
+		cmdSignal(ts, false, []string{"CONT", args[1]})
+	}
+	data, err := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	fmt.Fprintf(ts.Stdout(), "status %d\nFulmardeal-Ran: %s\n%s\nread: %v\n", resp.StatusCode, resp.Header.Get("Fulmardeal-Ran"), data, err)
+}
+
+// cmdSleep waits: sleep 1s.
+func cmdSleep(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
+
 // cmdSignal sends a signal to the background processes that have an argument:
 // signal TERM entry.toml.
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
--- a/internal/fleet/membership/table.go
+++ b/internal/fleet/membership/table.go
@@ -47,6 +47,10 @@
 	// the lagging list doesn't bring it back.
 	goneFor = 2 * time.Minute
 
+	// Partners are the members that a process talks to.
+	ringPartners   = 2
+	hashedPartners = 6
+
 	// mostNews bounds the news in one message.
 	mostNews = 12
 )
@@ -91,9 +95,16 @@
 	mu      sync.Mutex
 	self    News
 	members map[string]*Member // by incarnation
-	ring    []string           // incarnations still to be probed this round
 	random  *rand.Rand
 	version uint64
+	turn    int // of the partners
+
+	order      []*Member // sorted by name, of orderAt
+	orderAt    uint64
+	partners   []*Member // of partnersAt
+	partnersAt uint64
+	listing    []Member // of listingAt
+	listingAt  uint64
 }
 
 // NewTable returns a table that knows only self.
@@ -104,6 +115,7 @@
 		random:  rand.New(rand.NewPCG(seed, 1)),
 	}
 	t.members[self.Incarnation] = &Member{news: t.self}
+	t.version = 1
 	return t
 }
 
@@ -289,42 +301,104 @@
 	}
 }
 
-// Probe returns the next member to talk to: each once a round, in an order
-// that is shuffled anew each round. It reports false when there is none.
+// Probe returns the next partner to talk to, each in turn. It reports false
+// when there is none.
 func (t *Table) Probe() (fulmardeal.Instance, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for range 2 {
-		for len(t.ring) > 0 {
-			key := t.ring[0]
-			t.ring = t.ring[1:]
-			m, known := t.members[key]
-			if known && m.news.State != Gone && key != t.self.Instance.Incarnation {
-				return m.news.Instance, true
-			}
+	partners := t.chosen()
+	if len(partners) == 0 {
+		return fulmardeal.Instance{}, false
+	}
+	t.turn++
+	return partners[t.turn%len(partners)].news.Instance, true
+}
+
+// Partners returns the members that this process talks to, at most n of them,
+// in random order.
+func (t *Table) Partners(n int) []fulmardeal.Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []fulmardeal.Instance
+	for _, m := range t.chosen() {
+		if m.news.State == Alive {
+			out = append(out, m.news.Instance)
 		}
-		t.ring = t.ring[:0]
-		for key := range t.members {
-			t.ring = append(t.ring, key)
+	}
+	t.random.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(n, len(out))]
+}
+
+// chosen returns the partners: the next few in a ring of all members, so that
+// each member has somebody who watches it, and some that are hashed for this
+// process, so that news is everywhere after a few exchanges. A process talks to
+// the same few over connections that stay open, however large the fleet.
+func (t *Table) chosen() []*Member {
+	if t.partnersAt == t.version && t.partners != nil {
+		return t.partners
+	}
+	var others []*Member
+	for _, m := range t.sorted() {
+		if m.news.State != Gone && m.news.Instance.Incarnation != t.self.Instance.Incarnation {
+			others = append(others, m)
 		}
-		slices.Sort(t.ring)
-		t.random.Shuffle(len(t.ring), func(i, j int) { t.ring[i], t.ring[j] = t.ring[j], t.ring[i] })
 	}
-	return fulmardeal.Instance{}, false
+	t.partnersAt = t.version
+	t.partners = t.choose(others)
+	return t.partners
+}
+
+func (t *Table) choose(others []*Member) []*Member {
+	if len(others) <= ringPartners+hashedPartners {
+		return slices.Clone(others)
+	}
+	self := t.self.Instance.Incarnation
+	at := Score("ring", self)
+	distance := func(m *Member) uint64 { return Score("ring", m.news.Instance.Incarnation) - at } // wraps around
+	score := func(m *Member) uint64 { return ^Score(self, m.news.Instance.Incarnation) }
+
+	out := least(others, ringPartners, distance)
+	for _, m := range least(others, ringPartners+hashedPartners, score) {
+		if len(out) < ringPartners+hashedPartners && !slices.Contains(out, m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// least returns the n members with the least values of f, the least first.
+func least(all []*Member, n int, f func(*Member) uint64) []*Member {
+	var out []*Member
+	for _, m := range all {
+		v := f(m)
+		i := len(out)
+		for i > 0 && f(out[i-1]) > v {
+			i--
+		}
+		if i < n {
+			out = slices.Insert(out, i, m)
+			out = out[:min(n, len(out))]
+		}
+	}
+	return out
 }
 
 // Some returns up to n random members that are thought alive.
 func (t *Table) Some(n int) []fulmardeal.Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	all := t.sorted()
 	var out []fulmardeal.Instance
-	for _, m := range t.sorted() {
+	for _, i := range t.random.Perm(len(all)) {
+		m := all[i]
+		if len(out) == n {
+			break
+		}
 		if m.news.State == Alive && m.news.Instance.Incarnation != t.self.Instance.Incarnation {
 			out = append(out, m.news.Instance)
 		}
 	}
-	t.random.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(n, len(out))]
+	return out
 }
 
 // Tell returns the news to send with the next message: this process's own, and
@@ -364,17 +438,22 @@
 	return out
 }
 
-// Members returns the members that are not gone, sorted by name.
+// Members returns the members that are not gone, sorted by name. The slice is
+// shared and must not be changed.
 func (t *Table) Members() []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []Member
+	if t.listing != nil && t.listingAt == t.version {
+		return t.listing
+	}
+	t.listing = make([]Member, 0, len(t.members))
 	for _, m := range t.sorted() {
 		if m.news.State != Gone {
-			out = append(out, *m)
+			t.listing = append(t.listing, *m)
 		}
 	}
-	return out
+	t.listingAt = t.version
+	return t.listing
 }
 
 // Silent returns how long ago the last other member spoke first-hand. It
@@ -391,16 +470,22 @@
 	return now.Sub(last), !last.IsZero()
 }
 
+// sorted returns all members sorted by name. It is worked out again only when
+// something has changed.
 func (t *Table) sorted() []*Member {
-	var out []*Member
+	if t.order != nil && t.orderAt == t.version {
+		return t.order
+	}
+	t.order = t.order[:0:0]
 	for _, m := range t.members {
-		out = append(out, m)
+		t.order = append(t.order, m)
 	}
-	slices.SortFunc(out, func(a, b *Member) int {
+	slices.SortFunc(t.order, func(a, b *Member) int {
 		if c := strings.Compare(a.news.Instance.Name, b.news.Instance.Name); c != 0 {
 			return c
 		}
 		return strings.Compare(a.news.Instance.Incarnation, b.news.Instance.Incarnation)
 	})
-	return out
+	t.orderAt = t.version
+	return t.order
 }
--- a/internal/process/agent/weights.go
+++ b/internal/process/agent/weights.go
@@ -30,6 +30,10 @@
 	version fulmardeal.Version
 	boot    string // of the engine
 	wake    chan struct{}
+
+	// What the target was worked out from; only aim uses them.
+	aimed   uint64
+	aimedAt fulmardeal.Offset
 }
 
 func newWeights(a *Agent, seed uint64) *weights {
@@ -71,6 +75,11 @@
 	if c == nil || !w.agent.node.Settled(time.Now()) {
 		return
 	}
+	seen := w.agent.node.Members().Version()
+	if w.aimed == seen && w.aimedAt == c.Version() {
+		return
+	}
+	w.aimed, w.aimedAt = seen, c.Version()
 	members := w.agent.node.Members().Members()
 	m, placed, ok := replica.Target(c, w.agent.settings.Name, members)
 
--- a/internal/process/node/exchange.go
+++ b/internal/process/node/exchange.go
@@ -17,14 +17,21 @@
 	if age := n.age(time.Now()); age >= 0 && age < confirmEvery {
 		return
 	}
-	asked := false
-	for _, in := range n.members.Some(poolSize) {
-		if in.DataCentre == n.options.Settings.DataCentre && n.isReader(in.Name) {
+	n.probeOutside(ctx)
+}
+
+// probeOutside asks those who can confirm the configuration: the readers of
+// this data centre, and a partner in another one.
+func (n *Node) probeOutside(ctx context.Context) {
+	for _, in := range n.dataCentreReaders() {
+		if in.Incarnation != n.incarnation {
 			go n.exchange(ctx, in)
 		}
-		if !asked && n.outside(in) {
-			asked = true
+	}
+	for _, in := range append(n.members.Partners(fanout), n.members.Some(fanout)...) {
+		if n.outside(in) {
 			go n.exchange(ctx, in)
+			return
 		}
 	}
 }
@@ -87,7 +94,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	n.fetch(ctx)
-	for _, in := range n.members.Some(fanout) {
+	for _, in := range n.members.Partners(fanout) {
 		if n.store.Version() >= version || ctx.Err() != nil {
 			break
 		}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -52,7 +52,7 @@
 	settleAfter = time.Second
 	aloneAfter  = 6 * time.Second
 
-	poolSize = 512
+	poolSize = 256
 )
 
 // Options are what a node is built from.
@@ -86,11 +86,20 @@
 	dump      func() any
 	progress  func() string
 	started   time.Time
-	listed    time.Time
-	joined    bool // another process has told of all that it knows
-	joinedAt  time.Time
-	logDown   bool
-	expired   bool
+
+	candidates map[string]candidates // by job
+	listed     time.Time
+	joined     bool // another process has told of all that it knows
+	joinedAt   time.Time
+	logDown    bool
+	expired    bool
+}
+
+// candidates are the first candidates for a job, as of a version of the
+// members.
+type candidates struct {
+	version uint64
+	list    []fulmardeal.Instance
 }
 
 // New opens the node's listener. The returned function closes it and all
@@ -112,6 +121,7 @@
 		members:     membership.NewTable(o.Settings.Instance(o.Role, incarnation), o.Seed),
 		log:         o.Logger.With("process", o.Settings.Name),
 		started:     time.Now(),
+		candidates:  make(map[string]candidates),
 	}
 	cleanup := func() {
 		closeServer()
@@ -198,7 +208,7 @@
 // inForce passes a new configuration on at once.
 func (n *Node) inForce(c *configuration.Configuration) {
 	n.log.Info("configuration in force", "version", int64(c.Version()))
-	for _, in := range n.members.Some(fanout) {
+	for _, in := range n.members.Partners(fanout) {
 		go n.exchange(context.Background(), in)
 	}
 }
@@ -248,7 +258,7 @@
 	if n.members.Self().Beat == before {
 		return
 	}
-	for _, in := range n.members.Some(fanout) {
+	for _, in := range n.members.Partners(fanout) {
 		go n.exchange(context.Background(), in)
 	}
 }
--- a/internal/process/node/platform.go
+++ b/internal/process/node/platform.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"fulmardeal"
@@ -92,27 +94,47 @@
 	if !known || silent > lonelyAfter {
 		return true
 	}
-	return n.isReader(n.options.Settings.Name)
+	for _, in := range n.dataCentreReaders() {
+		if in.Incarnation == n.incarnation {
+			return true
+		}
+	}
+	return false
 }
 
-// isReader reports whether a process is one of this data centre's readers of
-// the log.
-func (n *Node) isReader(name string) bool {
-	rank := n.rank("log", name, func(in fulmardeal.Instance) bool {
+// dataCentreReaders returns this data centre's readers of the log, which
+// everybody works out alike.
+func (n *Node) dataCentreReaders() []fulmardeal.Instance {
+	return n.first("log", readers, func(in fulmardeal.Instance) bool {
 		return in.DataCentre == n.options.Settings.DataCentre
 	})
-	return rank >= 0 && rank < readers
 }
 
-// rank returns a process's place for a job among the members that match.
-func (n *Node) rank(job, name string, match func(fulmardeal.Instance) bool) int {
-	var names []string
+// first returns the first candidates for a job among the members that match.
+// They are worked out again only when the members have changed.
+func (n *Node) first(job string, most int, match func(fulmardeal.Instance) bool) []fulmardeal.Instance {
+	version := n.members.Version()
+	n.mu.Lock()
+	c, known := n.candidates[job]
+	n.mu.Unlock()
+	if known && c.version == version {
+		return c.list
+	}
+
+	var all []fulmardeal.Instance
 	for _, m := range n.members.Members() {
 		if m.State() == membership.Alive && match(m.Instance()) {
-			names = append(names, m.Instance().Name)
+			all = append(all, m.Instance())
 		}
 	}
-	return membership.Rank(job, name, names)
+	slices.SortFunc(all, func(a, b fulmardeal.Instance) int {
+		return cmp.Compare(membership.Score(job, b.Incarnation), membership.Score(job, a.Incarnation))
+	})
+	c = candidates{version: version, list: slices.Clone(all[:min(most, len(all))])}
+	n.mu.Lock()
+	n.candidates[job] = c
+	n.mu.Unlock()
+	return c.list
 }
 
 // fetch reads what the log has after the version in force.
@@ -145,7 +167,8 @@
 	if !n.store.SnapshotDue(time.Now(), snapshotAfter, snapshotAge) {
 		return
 	}
-	if n.rank("snapshot", n.options.Settings.Name, func(fulmardeal.Instance) bool { return true }) != 0 {
+	writer := n.first("snapshot", 1, func(fulmardeal.Instance) bool { return true })
+	if len(writer) == 0 || writer[0].Incarnation != n.incarnation {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
