process/node: only readers look at the list often

Cause: each process fetched the platform's whole list every two seconds, which at 13,000 processes is over 1 MB a second for each. The readers of a data centre now look that often, and what they find travels as news; the others look once a minute.

--- a/internal/fleet/membership/table.go
+++ b/internal/fleet/membership/table.go
@@ -275,8 +275,9 @@
 			}
 			continue
 		}
-		t.members[in.Incarnation] = &Member{news: News{Instance: in}, heard: now, changed: now, listed: true}
-		t.version++
+		t.spread(News{Instance: in})
+		m = t.members[in.Incarnation]
+		m.heard, m.changed, m.listed = now, now, true
 	}
 }
 
--- a/internal/process/node/platform.go
+++ b/internal/process/node/platform.go
@@ -36,11 +36,16 @@
 }
 
 // list joins the platform's list of instances, and joins the others through
-// one of them when this process has just started. A process that knows nobody
-// looks more often.
+// one of them when this process has just started. The readers of a data centre
+// look often, and what they find travels as news; the list is long, so the
+// others look rarely. A process that knows nobody looks at every turn.
 func (n *Node) list(ctx context.Context) {
+	every := listRarely
+	if n.reader() {
+		every = listEvery
+	}
 	n.mu.Lock()
-	due := !n.joined || time.Since(n.listed) >= listEvery
+	due := !n.joined || time.Since(n.listed) >= every
 	joined := n.joined
 	n.mu.Unlock()
 	if !due {
