traffic/attempt, traffic/choice: the end mark held back, choices in constant time

The end mark of a stream was handed on before the weights had been read again, so that an answer under two versions could look good: it is now kept back until the answer is known to be of one.

A choice went through all endpoints and matched their labels each time.

--- a/internal/cli/command/bench.go
+++ b/internal/cli/command/bench.go
@@ -51,6 +51,12 @@
 	switch args[0] {
 	case "traffic":
 		return c.traffic(ctx)
+	case "overhead":
+		rows, err := traffic.MeasureOverhead(ctx, c.Seed, c.env.out)
+		if err != nil {
+			return err
+		}
+		return writeReport(c.Report, rows)
 	case "weights":
 		return c.weights(ctx)
 	case "config":
--- a/internal/process/local/system.go
+++ b/internal/process/local/system.go
@@ -81,6 +81,7 @@
 	Agent      *agent.Agent
 	Engine     *endpoint.Engine  // nil but for engines
 	Plain      *endpoint.Service // nil but for plain services
+	url        string            // of the endpoint
 	stop       context.CancelFunc
 	done       chan struct{} // closed when the member has ended
 	failure    error         // set before done is closed
@@ -206,6 +207,7 @@
 		return nil, err
 	}
 	p.Endpoint = url
+	m.url = url
 	p.Engine = m.Engine != nil
 
 	platform, err := agentPlatform(p, x.fabric.At(x.site(p)))
@@ -367,6 +369,16 @@
 	return append([]*Member(nil), x.agents...)
 }
 
+// EndpointURL returns the address of the first endpoint of a service.
+func (x *System) EndpointURL(service string) string {
+	for _, m := range x.Agents() {
+		if m.Service == service {
+			return m.url
+		}
+	}
+	return ""
+}
+
 // Operator returns the operators' side.
 func (x *System) Operator() *operator.Operator { return x.operator }
 
--- a/internal/traffic/attempt/run.go
+++ b/internal/traffic/attempt/run.go
@@ -72,7 +72,8 @@
 	}
 	t.begin(a, answer, before)
 
-	fault := t.copy(ctx, a, answer.Body)
+	var end holder
+	fault := t.copy(ctx, a, answer.Body, &end)
 	if fault != FaultNone {
 		t.endpoint.Cancel(context.WithoutCancel(ctx), a.id)
 		return fault, nil
@@ -81,6 +82,9 @@
 	if err != nil || after != before || again != digest {
 		return FaultMixed, nil
 	}
+	if !t.add(a, end.rest()) {
+		return FaultLarge, nil
+	}
 	return FaultNone, nil
 }
 
@@ -120,12 +124,17 @@
 	a.notify()
 }
 
-// copy reads the endpoint's answer into the attempt until its end.
-func (t *Table) copy(ctx context.Context, a *attempt, body io.Reader) Fault {
+// copy reads the endpoint's answer into the attempt until its end. The end mark
+// of a stream stays with the holder.
+func (t *Table) copy(ctx context.Context, a *attempt, body io.Reader, end *holder) Fault {
 	buf := make([]byte, readSize)
 	for {
 		n, err := body.Read(buf)
-		if n > 0 && !t.add(a, buf[:n]) {
+		data := buf[:n]
+		if a.stream {
+			data = end.pass(data)
+		}
+		if !t.add(a, data) {
 			return FaultLarge
 		}
 		switch {
@@ -145,6 +154,9 @@
 	if a.base+int64(len(a.data)+len(data)) > MostAnswer {
 		return false
 	}
+	if len(data) == 0 {
+		return true
+	}
 	if a.first.IsZero() {
 		a.first = time.Now()
 	}
--- a/internal/traffic/choice/table.go
+++ b/internal/traffic/choice/table.go
@@ -9,6 +9,7 @@
 package choice
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -34,9 +35,12 @@
 
 // Constants of the choice.
 const (
-	// subset bounds the endpoints of one service that an entry talks to, so
-	// that connections don't grow with the product of entries and endpoints.
-	subset = 64
+	// An entry talks to a subset of a large service's endpoints, so that
+	// neither connections nor the time of a choice grow with the fleet: so many
+	// of its own data centre, of its region, and of elsewhere.
+	nearSubset   = 40
+	regionSubset = 16
+	farSubset    = 8
 
 	// bounded is how much busier than its rival the endpoint with the cached
 	// prefix may be, as a part of its limit.
@@ -86,6 +90,11 @@
 	return running / limit, limit - running
 }
 
+// recent returns the times of the requests sent within d.
+func (e *endpoint) recent(now time.Time, d time.Duration) []time.Time {
+	return slices.DeleteFunc(e.sent, func(t time.Time) bool { return now.Sub(t) > d })
+}
+
 // Wish is what a request needs of its endpoint.
 type Wish struct {
 	Customer configuration.Customer
@@ -113,6 +122,14 @@
 	endpoints  map[string]*endpoint // by incarnation
 	order      []*endpoint          // the same, sorted by name
 	config     *configuration.Configuration
+	pools      map[poolKey][]*endpoint // since the last refresh
+}
+
+// poolKey is what the endpoints for a request depend on.
+type poolKey struct {
+	customer string
+	service  string
+	model    string
 }
 
 // NewTable returns the table of the entry called name.
@@ -124,6 +141,7 @@
 		policy:     p,
 		random:     rand.New(rand.NewPCG(seed, 2)),
 		endpoints:  make(map[string]*endpoint),
+		pools:      make(map[poolKey][]*endpoint),
 	}
 }
 
@@ -135,6 +153,7 @@
 	t.config = c
 	before := t.endpoints
 	t.endpoints = make(map[string]*endpoint)
+	t.pools = make(map[poolKey][]*endpoint)
 	t.order = nil
 	for _, m := range members {
 		in := m.Instance()
@@ -180,7 +199,7 @@
 		e = t.ours(now, candidates, w)
 	}
 	e.own++
-	e.sent = append(e.sent, now)
+	e.sent = append(e.recent(now, aged), now)
 	return Pick{Instance: e.instance, Serving: e.serving}, true
 }
 
@@ -188,8 +207,8 @@
 // that are set aside or say that they are full, unless no other is left.
 func (t *Table) candidates(now time.Time, w Wish) []*endpoint {
 	var good, bad []*endpoint
-	for _, e := range t.order {
-		if !t.suits(e, w) || slices.Contains(w.Tried, e.instance.Incarnation) {
+	for _, e := range t.pool(w) {
+		if slices.Contains(w.Tried, e.instance.Incarnation) {
 			continue
 		}
 		if now.Before(e.aside) || now.Before(e.full) {
@@ -199,9 +218,30 @@
 		good = append(good, e)
 	}
 	if len(good) == 0 {
-		good = bad
+		return bad
 	}
-	return t.subset(good, w.Service)
+	return good
+}
+
+// pool returns the endpoints that this entry uses for a customer's requests to
+// a service or model. It is worked out once after each refresh.
+func (t *Table) pool(w Wish) []*endpoint {
+	key := poolKey{customer: w.Customer.Name(), service: w.Service, model: w.Model}
+	if p, known := t.pools[key]; known {
+		return p
+	}
+	var tiers [tierCount][]*endpoint
+	for _, e := range t.order {
+		if t.suits(e, w) {
+			i := t.tier(e)
+			tiers[i] = append(tiers[i], e)
+		}
+	}
+	p := t.subset(tiers[tierNear], nearSubset, w.Service)
+	p = append(p, t.subset(tiers[tierRegion], regionSubset, w.Service)...)
+	p = append(p, t.subset(tiers[tierFar], farSubset, w.Service)...)
+	t.pools[key] = p
+	return p
 }
 
 func (t *Table) suits(e *endpoint, w Wish) bool {
@@ -214,25 +254,37 @@
 	return t.config.Allowed(w.Customer, e.labels)
 }
 
-// subset cuts a large service down to this entry's share of it: the endpoints
-// with the highest rendezvous scores for this entry.
-func (t *Table) subset(all []*endpoint, service string) []*endpoint {
-	if len(all) <= subset {
+// Tiers of distance.
+const (
+	tierNear   = iota // the own data centre
+	tierRegion        // the own region
+	tierFar
+	tierCount
+)
+
+func (t *Table) tier(e *endpoint) int {
+	switch {
+	case e.instance.DataCentre == t.dataCentre:
+		return tierNear
+	case e.instance.Region == t.region:
+		return tierRegion
+	}
+	return tierFar
+}
+
+// subset cuts endpoints down to the n with the highest rendezvous scores for
+// this entry.
+func (t *Table) subset(all []*endpoint, n int, service string) []*endpoint {
+	if len(all) <= n {
 		return all
 	}
 	job := t.name + "/" + service
 	out := slices.Clone(all)
 	slices.SortFunc(out, func(a, b *endpoint) int {
 		x, y := membership.Score(job, a.instance.Incarnation), membership.Score(job, b.instance.Incarnation)
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
+		return cmp.Compare(y, x)
 	})
-	return out[:subset]
+	return out[:n]
 }
 
 func leastOwn(candidates []*endpoint) *endpoint {
@@ -248,16 +300,10 @@
 // near returns the candidates in the nearest place that has room: the own data
 // centre, then the own region, then anywhere.
 func (t *Table) near(now time.Time, all []*endpoint) []*endpoint {
-	var tiers [3][]*endpoint
+	var tiers [tierCount][]*endpoint
 	for _, e := range all {
-		switch {
-		case e.instance.DataCentre == t.dataCentre:
-			tiers[0] = append(tiers[0], e)
-		case e.instance.Region == t.region:
-			tiers[1] = append(tiers[1], e)
-		default:
-			tiers[2] = append(tiers[2], e)
-		}
+		i := t.tier(e)
+		tiers[i] = append(tiers[i], e)
 	}
 	for _, tier := range tiers {
 		for _, e := range tier {
@@ -348,7 +394,7 @@
 	e.room = r
 	e.ended = 0
 	e.heard = now
-	e.sent = slices.DeleteFunc(e.sent, func(t time.Time) bool { return now.Sub(t) > onTheWay })
+	e.sent = e.recent(now, onTheWay)
 	e.failures = 0
 	e.aside = time.Time{}
 }
--- /dev/null
+++ b/internal/traffic/choice/table_test.go
@@ -0,0 +1,137 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/fleet/configuration"
+	"fulmardeal/internal/fleet/membership"
+	"fulmardeal/internal/traffic/attempt"
+)
+
+const site = `
+[[datacentre]]
+name = "a"
+region = "r"
+[[datacentre]]
+name = "b"
+region = "s"
+[[service]]
+name = "shop"
+kind = "plain"
+limit = 8
+cold = 8
+warm = "0s"
+[[customer]]
+name = "noor"
+key = "512638fbf5ea0358b9c1ca411c5b3e2457ea7ff1c807800fd6939a17468487e5"
+[[customer]]
+name = "guest"
+key = "512638fbf5ea0358b9c1ca411c5b3e2457ea7ff1c807800fd6939a17468487e6"
+[[traffic]]
+name = "noor"
+customers = "customer=noor"
+endpoints = ""
+`
+
+// newTable returns the table of an entry in data centre a, with n endpoints in
+// each data centre.
+func newTable(t testing.TB, n int, change configuration.Document) (*Table, *configuration.Configuration) {
+	doc, err := configuration.ParseDocument("site", []byte(site))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := configuration.State{}.With(doc).With(change).Evaluate()
+	m := membership.NewTable(fulmardeal.Instance{Incarnation: "self", Role: fulmardeal.RoleEntry}, 1)
+	var news []membership.News
+	for i := range 2 * n {
+		in := fulmardeal.Instance{Name: fmt.Sprint("e", i), Incarnation: fmt.Sprint("e", i), Role: fulmardeal.RoleAgent,
+			DataCentre: "a", Region: "r", Service: "shop"}
+		if i >= n {
+			in.DataCentre, in.Region = "b", "s"
+		}
+		news = append(news, membership.News{Instance: in, Beat: 1})
+	}
+	m.Hear(time.Now(), news)
+	table := NewTable("entry", "a", "r", PolicyOurs, 1)
+	table.Refresh(m.Members(), c)
+	return table, c
+}
+
+func wish(c *configuration.Configuration, customer string) Wish {
+	x, _ := c.Customer(customer)
+	return Wish{Customer: x, Service: "shop"}
+}
+
+// TestNearest checks that requests stay in the own data centre until it is
+// full, and go on to the other then.
+func TestNearest(t *testing.T) {
+	table, c := newTable(t, 3, configuration.Document{})
+	now := time.Now()
+	for i := range 6 {
+		table.Heard(now, fmt.Sprint("e", i), attempt.Room{Running: 0, Limit: 8})
+	}
+	count := make(map[string]int)
+	for range 30 {
+		p, ok := table.Pick(now, wish(c, "noor"))
+		if !ok {
+			t.Fatal("no endpoint")
+		}
+		count[p.Instance.DataCentre]++
+	}
+	if count["a"] < 22 || count["b"] == 0 {
+		t.Errorf("picked %v; want a's 24 places used nearly up before b's", count)
+	}
+}
+
+// TestNeverPicked checks what no policy may pick.
+func TestNeverPicked(t *testing.T) {
+	out := configuration.Document{DataCentre: []configuration.DataCentreEntry{{Name: "a", Region: "r", Out: true}}}
+	tests := []struct {
+		name     string
+		change   configuration.Document
+		customer string
+		service  string
+		want     bool
+	}{
+		{"all well", configuration.Document{}, "noor", "shop", true},
+		{"no rule for the customer", configuration.Document{}, "guest", "shop", false},
+		{"another service", configuration.Document{}, "noor", "desk", false},
+		{"out", out, "noor", "shop", true},
+	}
+	for _, tc := range tests {
+		for _, p := range []Policy{PolicyRandom, PolicyLeast, PolicyOurs} {
+			t.Run(tc.name+" "+string(p), func(t *testing.T) {
+				table, c := newTable(t, 2, tc.change)
+				table.policy = p
+				w := wish(c, tc.customer)
+				w.Service = tc.service
+				for range 20 {
+					got, ok := table.Pick(time.Now(), w)
+					if ok != tc.want {
+						t.Fatalf("picked %t, want %t", ok, tc.want)
+					}
+					if ok && c.IsOut(got.Instance.DataCentre) {
+						t.Fatal("picked an endpoint of a data centre that is out")
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkPick shows that the time of a choice doesn't grow with the fleet.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 6000} {
+		b.Run(fmt.Sprint(2*n), func(b *testing.B) {
+			table, c := newTable(b, n, configuration.Document{})
+			w := wish(c, "noor")
+			for b.Loop() {
+				p, _ := table.Pick(time.Now(), w)
+				table.End(p.Instance.Incarnation)
+			}
+		})
+	}
+}
