weights, fleet, cli: smaller files, and logic that stood twice

The swarm's topology and a member's partners have files of their own; the loop that agents, entries and nodes share is one function; the operators' commands open their platform in one place.

--- a/internal/cli/command/apply.go
+++ b/internal/cli/command/apply.go
@@ -59,28 +59,20 @@
 
 // dry shows what the change would move, without making it.
 func (c *apply) dry(file string, d configuration.Document) error {
-	o, cleanup, err := c.open()
-	if err != nil {
-		return err
-	}
-	defer cleanup()
-	ctx := context.Background()
-	s, err := o.State(ctx)
-	if err != nil {
-		return err
-	}
-	if faults := s.Check(d); len(faults) > 0 {
-		return inFile(file, &configuration.FaultsError{Faults: faults})
-	}
-	moves := operator.Moves(s, d, o.Status(ctx))
-	if c.JSON {
-		return printJSON(c.env, moves)
-	}
-	for _, m := range moves {
-		fmt.Fprintln(c.env.out, m)
-	}
-	if len(moves) == 0 {
-		fmt.Fprintln(c.env.out, "nothing would move")
-	}
-	return nil
+	return c.with(func(ctx context.Context, o *operator.Operator, s configuration.State) error {
+		if faults := s.Check(d); len(faults) > 0 {
+			return inFile(file, &configuration.FaultsError{Faults: faults})
+		}
+		moves := operator.Moves(s, d, o.Status(ctx))
+		if c.JSON {
+			return printJSON(c.env, moves)
+		}
+		for _, m := range moves {
+			fmt.Fprintln(c.env.out, m)
+		}
+		if len(moves) == 0 {
+			fmt.Fprintln(c.env.out, "nothing would move")
+		}
+		return nil
+	})
 }
--- a/internal/cli/command/operator.go
+++ b/internal/cli/command/operator.go
@@ -40,6 +40,21 @@
 // change applies the change that make returns for the present state, and says
 // what came of it.
 func (f operatorFlags) change(env *environment, make func(configuration.State) (configuration.Document, error)) error {
+	return f.with(func(ctx context.Context, o *operator.Operator, s configuration.State) error {
+		d, err := make(s)
+		if err != nil {
+			return err
+		}
+		out, err := o.Apply(ctx, d, f.Wait)
+		if err != nil {
+			return err
+		}
+		return f.say(env, out)
+	})
+}
+
+// with calls use with an operator and the present state.
+func (f operatorFlags) with(use func(ctx context.Context, o *operator.Operator, s configuration.State) error) error {
 	o, cleanup, err := f.open()
 	if err != nil {
 		return err
@@ -50,15 +65,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := make(s)
-	if err != nil {
-		return err
-	}
-	out, err := o.Apply(ctx, d, f.Wait)
-	if err != nil {
-		return err
-	}
-	return f.say(env, out)
+	return use(ctx, o, s)
 }
 
 func (f operatorFlags) say(env *environment, out operator.Outcome) error {
--- a/internal/cli/command/show.go
+++ b/internal/cli/command/show.go
@@ -5,6 +5,9 @@
 	"fmt"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"fulmardeal/internal/fleet/configuration"
+	"fulmardeal/internal/process/operator"
 )
 
 const showHelp = `Shows the configuration that the log gives now, in TOML, with its version.
@@ -20,22 +23,15 @@
 
 // Execute reads the log and prints what it gives.
 func (c *show) Execute([]string) error {
-	o, cleanup, err := c.open()
-	if err != nil {
-		return err
-	}
-	defer cleanup()
-	s, err := o.State(context.Background())
-	if err != nil {
-		return err
-	}
-	if c.JSON {
-		return printJSON(c.env, s.Document())
-	}
-	data, err := toml.Marshal(s.Document())
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(c.env.out, "# version %d\n%s", s.Version(), data)
-	return nil
+	return c.with(func(_ context.Context, _ *operator.Operator, s configuration.State) error {
+		if c.JSON {
+			return printJSON(c.env, s.Document())
+		}
+		data, err := toml.Marshal(s.Document())
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(c.env.out, "# version %d\n%s", s.Version(), data)
+		return nil
+	})
 }
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -155,10 +155,10 @@
 	defer stop()
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return a.node.Run(work) })
-	g.Go(func() error { return every(work, tickEvery, a.tick) })
-	g.Go(func() error { return every(work, watchEvery, a.watch) })
+	g.Go(func() error { return node.Every(work, tickEvery, a.tick) })
+	g.Go(func() error { return node.Every(work, watchEvery, a.watch) })
 	if a.weights != nil {
-		g.Go(func() error { return every(work, weightsEvery, a.weights.tick) })
+		g.Go(func() error { return node.Every(work, weightsEvery, a.weights.tick) })
 		g.Go(func() error { return a.weights.run(work) })
 	}
 	g.Go(func() error {
@@ -173,19 +173,6 @@
 	return g.Wait()
 }
 
-func every(ctx context.Context, d time.Duration, f func(ctx context.Context)) error {
-	t := time.NewTicker(d)
-	defer t.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-	}
-}
-
 // leave refuses new work, and waits for what is in progress and for its
 // answers to be read.
 func (a *Agent) leave(ctx context.Context) {
--- a/internal/process/agent/weights.go
+++ b/internal/process/agent/weights.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/oops"
+
 	"fulmardeal"
 	"fulmardeal/internal/fleet/configuration"
 	"fulmardeal/internal/fleet/membership"
@@ -277,7 +279,7 @@
 	defer cancel()
 	data, err := w.agent.platform.Origin.Manifest(ctx, v)
 	if err != nil {
-		return nil, fmt.Errorf("manifest of %v: %w", v, err)
+		return nil, oops.In("weights").With("version", v.String()).Wrapf(err, "manifest of %v", v)
 	}
 	got, err := manifest.Parse(v, m.Digest(), data)
 	if err == nil {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -151,8 +151,8 @@
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return e.node.Run(work) })
 	g.Go(func() error { return e.server.Serve(e.listener) })
-	g.Go(func() error { return every(work, refreshEvery, e.refresh) })
-	g.Go(func() error { return every(work, borrowEvery, e.budgets.borrow) })
+	g.Go(func() error { return node.Every(work, refreshEvery, e.refresh) })
+	g.Go(func() error { return node.Every(work, borrowEvery, e.budgets.borrow) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -166,19 +166,6 @@
 	return g.Wait()
 }
 
-func every(ctx context.Context, d time.Duration, f func(ctx context.Context)) error {
-	t := time.NewTicker(d)
-	defer t.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-	}
-}
-
 // leave says that the entry is leaving, and lets requests in progress end.
 func (e *Entry) leave(ctx context.Context) {
 	e.mu.Lock()
--- a/internal/process/local/run.go
+++ b/internal/process/local/run.go
@@ -10,6 +10,7 @@
 	"os"
 	"time"
 
+	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 
 	"fulmardeal"
@@ -97,10 +98,10 @@
 	sending.Go(func() error { g.Run(ctx, j.For); return nil })
 	report := Report{Size: size}
 	if err := x.spread(ctx, j, m, &report); err != nil {
-		return Report{}, err
+		return Report{}, oops.In("local").With("model", m.Name).Wrapf(err, "spreading the weights")
 	}
 	if report.Stop, err = x.outAndBack(ctx, j); err != nil {
-		return Report{}, err
+		return Report{}, oops.In("local").Wrapf(err, "taking a data centre out and back")
 	}
 	fmt.Fprintln(j.Out, "waiting for the last answers")
 	if err := sending.Wait(); err != nil {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -172,16 +172,16 @@
 		n.server.Stop()
 		return nil
 	})
-	g.Go(func() error { return n.every(ctx, tickEvery, n.tick) })
-	g.Go(func() error { return n.every(ctx, exchangeEvery, n.probe) })
-	g.Go(func() error { return n.every(ctx, announceEvery, n.announce) })
-	g.Go(func() error { return n.every(ctx, lookEvery, n.list) })
-	g.Go(func() error { return n.every(ctx, readEvery, n.read) })
+	g.Go(func() error { return Every(ctx, tickEvery, n.tick) })
+	g.Go(func() error { return Every(ctx, exchangeEvery, n.probe) })
+	g.Go(func() error { return Every(ctx, announceEvery, n.announce) })
+	g.Go(func() error { return Every(ctx, lookEvery, n.list) })
+	g.Go(func() error { return Every(ctx, readEvery, n.read) })
 	return g.Wait()
 }
 
-// every calls f at once and then at each interval until the context ends.
-func (n *Node) every(ctx context.Context, d time.Duration, f func(ctx context.Context)) error {
+// Every calls f at once and then at each interval until the context ends.
+func Every(ctx context.Context, d time.Duration, f func(ctx context.Context)) error {
 	t := time.NewTicker(d)
 	defer t.Stop()
 	for {
--- /dev/null
+++ b/internal/weights/chunk/topology.go
@@ -0,0 +1,108 @@
+package chunk
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"fulmardeal/internal/fleet/membership"
+)
+
+// rank works out the candidates of this region for importing each chunk.
+func (s *Swarm) rank() {
+	names := []string{s.self.Incarnation}
+	for _, p := range s.peers {
+		if p.Region == s.self.Region {
+			names = append(names, p.Incarnation)
+		}
+	}
+	s.imports = make([][]string, s.manifest.Chunks())
+	for i := range s.imports {
+		order := membership.Order(s.importJob(i), names)
+		s.imports[i] = slices.Clone(order[:min(candidates, len(order))])
+	}
+}
+
+// befriend chooses the neighbours: some of the own region, some of others, and
+// those from whom this agent is to import chunks.
+func (s *Swarm) befriend() {
+	var near, far []string
+	for _, p := range s.peers {
+		if p.Region == s.self.Region {
+			near = append(near, p.Incarnation)
+		} else {
+			far = append(far, p.Incarnation)
+		}
+	}
+	job := "neighbour/" + s.self.Incarnation
+	near = membership.Order(job, near)
+	far = membership.Order(job, far)
+	chosen := append(near[:min(nearNeighbours, len(near))], far[:min(farNeighbours, len(far))]...)
+	chosen = append(chosen, s.sources()...)
+	for _, p := range s.peers {
+		p.near = slices.Contains(chosen, p.Incarnation)
+	}
+	s.askEvery = max(askLeast, time.Duration(len(chosen))*askEach)
+}
+
+// sources returns the importers before this agent in the chains of the chunks
+// that it is the first to import: they have those chunks soonest.
+func (s *Swarm) sources() []string {
+	var out []string
+	for i, order := range s.imports {
+		at := slices.Index(s.chains[i], s.self.Region)
+		if order[0] != s.self.Incarnation || at < 1 {
+			continue
+		}
+		first := s.importer(i, s.chains[i][at-1])
+		if first != "" && !slices.Contains(out, first) {
+			out = append(out, first)
+		}
+		if len(out) == mostSources {
+			break
+		}
+	}
+	return out
+}
+
+// importer returns the first candidate of a region for importing a chunk.
+func (s *Swarm) importer(index int, region string) string {
+	job := s.importJob(index)
+	best, high := "", uint64(0)
+	for _, p := range s.peers {
+		if p.Region != region {
+			continue
+		}
+		if x := membership.Score(job, p.Incarnation); best == "" || x > high {
+			best, high = p.Incarnation, x
+		}
+	}
+	return best
+}
+
+func (s *Swarm) importJob(index int) string {
+	return fmt.Sprintf("import/%v/%d", s.manifest.Version(), index)
+}
+
+// chain works out the order of regions for each chunk.
+func (s *Swarm) chain() {
+	regions := []string{s.self.Region}
+	for _, p := range s.peers {
+		regions = append(regions, p.Region)
+	}
+	slices.Sort(regions)
+	regions = slices.Compact(regions)
+	if slices.Equal(regions, s.regions) {
+		return
+	}
+
+	s.regions = regions
+	s.chains = make([][]string, s.manifest.Chunks())
+	for i := range s.chains {
+		order := membership.Order(fmt.Sprintf("chain/%v/%d", s.manifest.Version(), i), regions)
+		if at := slices.Index(order, s.home); at > 0 {
+			order = slices.Insert(slices.Delete(order, at, at+1), 0, s.home)
+		}
+		s.chains[i] = order
+	}
+}
