traffic/claim: keys have a lifetime

The holders of keys were kept for good, so an entry's memory would have grown with every keyed order: they are swept after 24 hours by the log's clock. Tests: one winner for each key while appends are lost, what may take a key over, no claim without the log.

--- a/internal/traffic/claim/claim.go
+++ b/internal/traffic/claim/claim.go
@@ -32,6 +32,14 @@
 	// pageSize is how many records one read asks for.
 	pageSize = 500
 
+	// Lifetime is how long a key holds, by the log's clock, provided that the
+	// log keeps its records so long.
+	Lifetime = 24 * time.Hour
+
+	// sweepAfter is how many claims are folded between two looks for keys
+	// whose lifetime is over.
+	sweepAfter = 10_000
+
 	// attempts at an append whose answer was lost, and the wait between them.
 	appendTries = 3
 	appendWait  = 50 * time.Millisecond
@@ -71,11 +79,18 @@
 
 	mu      sync.Mutex
 	next    fulmardeal.Offset // the first offset not yet read
-	winners map[string]Claim  // by key
+	winners map[string]winner // by key
+	folded  int               // claims since the last sweep
 	waiting []Claim           // to go with the next append
 	batch   *batch
 }
 
+// winner is the claim that holds a key, and when the log took it.
+type winner struct {
+	claim Claim
+	at    time.Time
+}
+
 // batch is one append that several claims share.
 type batch struct {
 	done   chan struct{}
@@ -91,7 +106,7 @@
 		s.stream = fmt.Sprintf("claim-%02d", i)
 		s.log = log
 		s.next = 1
-		s.winners = make(map[string]Claim)
+		s.winners = make(map[string]winner)
 	}
 	return b
 }
@@ -124,7 +139,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w, known := s.winners[key]
-	return w, known
+	return w.claim, known
 }
 
 // append joins the next batch, or begins one.
@@ -226,15 +241,25 @@
 			continue // not ours; every entry passes over it alike
 		}
 		for _, c := range claims {
-			s.settle(c)
+			s.settle(c, r.Time)
 		}
 	}
 }
 
 // settle applies one claim in the order of the log.
-func (s *shard) settle(c Claim) {
+func (s *shard) settle(c Claim, at time.Time) {
 	w, known := s.winners[c.Key]
-	if !known || c.After != "" && c.After == w.Attempt {
-		s.winners[c.Key] = c
+	if !known || at.Sub(w.at) > Lifetime || c.After != "" && c.After == w.claim.Attempt {
+		s.winners[c.Key] = winner{claim: c, at: at}
+	}
+	s.folded++
+	if s.folded < sweepAfter {
+		return
+	}
+	s.folded = 0
+	for key, w := range s.winners {
+		if at.Sub(w.at) > Lifetime {
+			delete(s.winners, key)
+		}
 	}
 }
--- /dev/null
+++ b/internal/traffic/claim/claim_test.go
@@ -0,0 +1,92 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmardeal/internal/standin/platform"
+)
+
+// TestOneWinner lets many entries claim the same keys at the same moment while
+// the log loses answers: each key has one winner, which all agree on.
+func TestOneWinner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const entries, keys = 5, 20
+		log := platform.NewLog(0)
+		log.Set(platform.Faults{Lose: 0.3})
+		var mu sync.Mutex
+		winners := make(map[string]string)
+		var g sync.WaitGroup
+		for e := range entries {
+			b := NewBook(log)
+			for k := range keys {
+				g.Go(func() {
+					key := fmt.Sprint("key", k)
+					w, err := b.Take(context.Background(), Claim{Key: key, Attempt: fmt.Sprintf("%d-%d", e, k)})
+					if err != nil {
+						return // an answer that was lost again and again
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					if old, known := winners[key]; known && old != w.Attempt {
+						t.Errorf("%s belongs to %s and to %s", key, old, w.Attempt)
+					}
+					winners[key] = w.Attempt
+				})
+			}
+		}
+		g.Wait()
+		if len(winners) != keys {
+			t.Errorf("%d keys have a winner, want %d", len(winners), keys)
+		}
+	})
+}
+
+// TestReplace checks what may take a key over.
+func TestReplace(t *testing.T) {
+	tests := []struct {
+		name   string
+		second Claim
+		wait   time.Duration
+		want   string
+	}{
+		{"another claim", Claim{Key: "k", Attempt: "two"}, 0, "one"},
+		{"one that follows the holder", Claim{Key: "k", Attempt: "two", After: "one"}, 0, "two"},
+		{"one that follows another", Claim{Key: "k", Attempt: "two", After: "zero"}, 0, "one"},
+		{"within the lifetime", Claim{Key: "k", Attempt: "two"}, Lifetime - time.Minute, "one"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := platform.NewLog(0)
+				ctx := context.Background()
+				if _, err := NewBook(log).Take(ctx, Claim{Key: "k", Attempt: "one"}); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(tc.wait)
+				w, err := NewBook(log).Take(ctx, tc.second)
+				if err != nil || w.Attempt != tc.want {
+					t.Errorf("winner %q, %v; want %q", w.Attempt, err, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// TestLogDown checks that no claim is made without the log.
+func TestLogDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := platform.NewLog(0)
+		log.Set(platform.Faults{Down: true})
+		_, err := NewBook(log).Take(context.Background(), Claim{Key: "k", Attempt: "one"})
+		var u *UnavailableError
+		if !errors.As(err, &u) {
+			t.Errorf("error %v, want an UnavailableError", err)
+		}
+	})
+}
