traffic/request: a broken stream goes on elsewhere, if it says the same

The request is now run again at an engine with the same weights, and the stream goes on where the caller's copy ends when the new run has said the same up to there, event by event.

Entries ask each home for loans once a second in one message, and only for customers that have sent requests.

--- a/internal/bench/control/config.go
+++ b/internal/bench/control/config.go
@@ -53,7 +53,7 @@
 		if err != nil {
 			return out, err
 		}
-		time.Sleep(settle)
+		f.rest()
 		for _, sc := range []Scenario{LogUp, LogSlow, LogDown, Bursts} {
 			l, err := f.lag(ctx, sc)
 			if err != nil {
--- a/internal/bench/control/cost.go
+++ b/internal/bench/control/cost.go
@@ -44,8 +44,26 @@
 // baseMembers is the fleet in which customers and models grow.
 const baseMembers = 24
 
-// settle is the time after a start until the fleet is at rest.
-const settle = 8 * time.Second
+// After its start a fleet has news of every member to pass on. It is at rest
+// when that is done.
+const (
+	settle   = 3 * time.Second
+	restMost = 2 * time.Minute
+)
+
+// rest waits until no node has news to pass on.
+func (f *fleet) rest() {
+	time.Sleep(settle)
+	for end := time.Now().Add(restMost); time.Now().Before(end); time.Sleep(settle / 3) {
+		pending := 0
+		for _, n := range f.nodes {
+			pending += n.Members().Pending()
+		}
+		if pending == 0 {
+			return
+		}
+	}
+}
 
 // Control measures costs against members, customers and models.
 func Control(ctx context.Context, s Settings, members, others []int) (Costs, error) {
@@ -93,7 +111,7 @@
 		return Cost{}, err
 	}
 	defer f.close()
-	time.Sleep(settle)
+	f.rest()
 
 	const changeEvery = 6 * time.Second
 	before := f.usage()
--- a/internal/fleet/membership/table.go
+++ b/internal/fleet/membership/table.go
@@ -351,6 +351,20 @@
 	return out
 }
 
+// Pending returns how many members there is news of that is still to be passed
+// on.
+func (t *Table) Pending() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, m := range t.members {
+		if m.sends > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // All returns all that is known, for a process that has just started.
 func (t *Table) All() []News {
 	t.mu.Lock()
--- a/internal/process/entry/budgets.go
+++ b/internal/process/entry/budgets.go
@@ -102,19 +102,45 @@
 	return p.Spend(now)
 }
 
-// borrow asks each customer's home for a loan.
+// errand is what one home is asked for.
+type errand struct {
+	home   fulmardeal.Instance
+	purses []purse
+	asks   []budget.Ask
+}
+
+// borrow asks the homes of the customers that have lately sent requests for
+// loans, each home once.
 func (b *budgets) borrow(ctx context.Context) {
+	now := time.Now()
 	b.mu.Lock()
 	purses := slices.Clone(b.purses)
 	b.mu.Unlock()
 	entries := b.entries()
+	var errands []errand
 	for _, p := range purses {
+		demand := p.purse.Demand(now)
 		home, ok := homeOf(p.customer, entries)
-		if !ok {
+		if !ok || demand == 0 {
 			continue
 		}
-		go b.ask(ctx, p, home)
+		a := budget.Ask{Entry: b.entry.node.Incarnation(), Customer: p.customer, Demand: demand}
+		errands = addErrand(errands, home, p, a)
+	}
+	for _, e := range errands {
+		go b.ask(ctx, e)
+	}
+}
+
+func addErrand(all []errand, home fulmardeal.Instance, p purse, a budget.Ask) []errand {
+	i := slices.IndexFunc(all, func(e errand) bool { return e.home.Incarnation == home.Incarnation })
+	if i < 0 {
+		i = len(all)
+		all = append(all, errand{home: home})
 	}
+	all[i].purses = append(all[i].purses, p)
+	all[i].asks = append(all[i].asks, a)
+	return all
 }
 
 // homeOf returns the entry that lends a customer's rate.
@@ -130,20 +156,32 @@
 	return best, best.Name != ""
 }
 
-func (b *budgets) ask(ctx context.Context, p purse, home fulmardeal.Instance) {
+func (b *budgets) ask(ctx context.Context, e errand) {
 	asked := time.Now()
-	a := budget.Ask{Entry: b.entry.node.Incarnation(), Customer: p.customer, Demand: p.purse.Demand(asked)}
-	if home.Incarnation == b.entry.node.Incarnation() {
-		p.purse.Borrow(time.Now(), asked, b.lend(a))
+	var loans []budget.Loan
+	if e.home.Incarnation == b.entry.node.Incarnation() {
+		loans = b.lendAll(e.asks)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+		defer cancel()
+		if err := b.entry.node.Pool().Client(e.home.Address).Call(ctx, budgetService+".Lend", e.asks, &loans); err != nil {
+			return // the present loans lapse by themselves
+		}
+	}
+	if len(loans) != len(e.purses) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
-	defer cancel()
-	var l budget.Loan
-	if err := b.entry.node.Pool().Client(home.Address).Call(ctx, budgetService+".Lend", a, &l); err != nil {
-		return // the present loan lapses by itself
+	for i, p := range e.purses {
+		p.purse.Borrow(time.Now(), asked, loans[i])
+	}
+}
+
+func (b *budgets) lendAll(asks []budget.Ask) []budget.Loan {
+	var out []budget.Loan
+	for _, a := range asks {
+		out = append(out, b.lend(a))
 	}
-	p.purse.Borrow(time.Now(), asked, l)
+	return out
 }
 
 func (b *budgets) lend(a budget.Ask) budget.Loan {
@@ -163,9 +201,9 @@
 	entry *Entry
 }
 
-// Lend answers an ask.
-func (l *Lending) Lend(a budget.Ask, reply *budget.Loan) error {
-	*reply = l.entry.budgets.lend(a)
+// Lend answers asks, in their order.
+func (l *Lending) Lend(asks []budget.Ask, reply *[]budget.Loan) error {
+	*reply = l.entry.budgets.lendAll(asks)
 	return nil
 }
 
--- /dev/null
+++ b/internal/traffic/request/replay_test.go
@@ -0,0 +1,178 @@
+package request
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/fleet/configuration"
+	"fulmardeal/internal/fleet/membership"
+	"fulmardeal/internal/link/connection"
+	"fulmardeal/internal/proof/invariant"
+	"fulmardeal/internal/standin/network"
+	"fulmardeal/internal/traffic/admission"
+	"fulmardeal/internal/traffic/attempt"
+	"fulmardeal/internal/traffic/choice"
+)
+
+var verse = fulmardeal.Version{Model: "verse", Name: "v1"}
+
+const tokens = 10
+
+// streamer is an engine that streams tokens, one each 100 ms, and breaks off
+// after some.
+type streamer struct {
+	name    string
+	breaks  int // after so many tokens; 0 for never
+	word    string
+	version fulmardeal.Version
+}
+
+func (s *streamer) Call(_ context.Context, c fulmardeal.Call) (fulmardeal.Answer, error) {
+	h := []fulmardeal.Field{{Name: "Content-Type", Value: "text/event-stream"}}
+	return fulmardeal.Answer{Status: 200, Header: h, Body: &tokenReader{streamer: s, id: c.ID}}, nil
+}
+
+func (s *streamer) Cancel(context.Context, string) error { return nil }
+
+func (s *streamer) Load(context.Context) (fulmardeal.Load, error) { return fulmardeal.Load{}, nil }
+
+func (s *streamer) Refuse(attempt.Task) *attempt.Refusal { return nil }
+
+func (s *streamer) Serving(context.Context) (fulmardeal.Version, string, error) {
+	return s.version, s.version.Name, nil
+}
+
+// tokenReader gives one token a read; the id differs from run to run.
+type tokenReader struct {
+	streamer *streamer
+	id       string
+	at       int
+}
+
+func (r *tokenReader) Read(p []byte) (int, error) {
+	if r.streamer.breaks > 0 && r.at == r.streamer.breaks {
+		time.Sleep(100 * time.Millisecond)
+		return 0, io.ErrUnexpectedEOF
+	}
+	if r.at > tokens {
+		return 0, io.EOF
+	}
+	time.Sleep(100 * time.Millisecond)
+	r.at++
+	if r.at > tokens {
+		return copy(p, "data: [DONE]\n\n"), nil
+	}
+	return copy(p, fmt.Sprintf("data: {\"id\":%q,\"choices\":[{\"text\":\"%s%d\"}]}\n\n", r.id, r.streamer.word, r.at)), nil
+}
+
+func (r *tokenReader) Close() error { return nil }
+
+// stream sends one request to engines, the first of which is picked first, and
+// returns the text of the answer and how it ended.
+func stream(t *testing.T, engines []*streamer) (text string, whole bool) {
+	fabric := network.New(&network.Memory{}, network.Shape{Near: time.Millisecond})
+	doc, err := configuration.ParseDocument("site", []byte(strings.Replace(site, `kind = "plain"`, `kind = "model"`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := configuration.State{}.With(doc).Evaluate()
+	members := membership.NewTable(fulmardeal.Instance{Incarnation: "self", Role: fulmardeal.RoleEntry}, 1)
+	for _, e := range engines {
+		s := network.Site{Instance: e.name, DataCentre: "a", Region: "r"}
+		server, closeServer, err := connection.Listen(fabric.At(s), e.name+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer closeServer()
+		l := admission.NewLimiter(nil, admission.Settings{Limit: 8, Cold: 8}, time.Now())
+		table := attempt.NewTable(e.name, e, l, e, &invariant.Book{})
+		if err := server.Register(attempt.ServiceName, attempt.NewService(table)); err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = server.Serve() }()
+		in := fulmardeal.Instance{Name: e.name, Incarnation: e.name, Role: fulmardeal.RoleAgent,
+			Address: server.Address(), DataCentre: "a", Region: "r", Service: "shop"}
+		members.Hear(time.Now(), []membership.News{{Instance: in, Beat: 1, Serving: e.version}})
+	}
+	entry := network.Site{Instance: "entry", DataCentre: "a", Region: "r"}
+	pool, closePool := connection.NewPool(fabric.At(entry), 8)
+	defer closePool()
+	table := choice.NewTable("entry", "a", "r", choice.PolicyLeast, 1)
+	table.Refresh(members.Members(), c)
+	r := NewRouter(table, pool, nil, func() fulmardeal.Offset { return 1 }, slog.New(slog.DiscardHandler))
+
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	x, _ := c.Customer("noor")
+	s, _ := c.Service("shop")
+	reply, err := r.Do(ctx, Request{Customer: x, Service: s, Model: "verse", Method: "POST", Path: "/v1/completions", Safe: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reply.Close()
+	var out bytes.Buffer
+	for {
+		out.Write(reply.Data())
+		if reply.Done() {
+			return words(out.String()), strings.HasSuffix(out.String(), "data: [DONE]\n\n")
+		}
+		if err := reply.Next(ctx); err != nil {
+			var b *BrokenError
+			if !errors.As(err, &b) {
+				t.Errorf("ended with %v", err)
+			}
+			return words(out.String()), false
+		}
+	}
+}
+
+// words returns the texts of a stream's events.
+func words(stream string) string {
+	var out []string
+	for event := range strings.SplitSeq(stream, "\n\n") {
+		if _, rest, found := strings.Cut(event, `"text":"`); found {
+			word, _, _ := strings.Cut(rest, `"`)
+			out = append(out, word)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// TestReplay breaks a stream off: another engine with the same weights that says
+// the same goes on with it; a different text or other weights never do.
+func TestReplay(t *testing.T) {
+	const want = "w1 w2 w3 w4 w5 w6 w7 w8 w9 w10"
+	other := fulmardeal.Version{Model: "verse", Name: "v2"}
+	tests := []struct {
+		name   string
+		second *streamer
+		text   string
+		whole  bool
+	}{
+		{"same", &streamer{name: "b", word: "w", version: verse}, want, true},
+		{"another text", &streamer{name: "b", word: "x", version: verse}, "w1 w2 w3 w4", false},
+		{"other weights", &streamer{name: "b", word: "w", version: other}, "w1 w2 w3 w4", false},
+		{"breaks off too", &streamer{name: "b", word: "w", version: verse, breaks: 6}, "w1 w2 w3 w4 w5 w6", false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first := &streamer{name: "a", word: "w", version: verse, breaks: 4}
+				text, whole := stream(t, []*streamer{first, tc.second})
+				if text != tc.text || whole != tc.whole {
+					t.Errorf("read %q, whole %t; want %q, %t", text, whole, tc.text, tc.whole)
+				}
+				time.Sleep(time.Minute) // the links deliver what is on its way
+			})
+		})
+	}
+}
--- a/internal/traffic/request/request.go
+++ b/internal/traffic/request/request.go
@@ -76,11 +76,14 @@
 func (e *BrokenError) Error() string { return fmt.Sprintf("answer broken off: %s", e.Fault) }
 
 // Reply is an answer that has begun. A plain one is whole when Do returns it;
-// a stream goes on with Next until Done. Close must be called.
+// a stream goes on with Next until Done, in whole events. Close must be called.
 type Reply struct {
-	router *Router
-	flight *flight
-	piece  attempt.Piece
+	router     *Router
+	job        *job
+	flight     *flight
+	piece      attempt.Piece
+	transcript transcript // of a stream
+	differs    bool       // a replay that says something else
 }
 
 // Status returns the endpoint's status.
@@ -106,12 +109,34 @@
 
 // Next waits for the next piece. The error is a *BrokenError.
 func (r *Reply) Next(ctx context.Context) error {
-	piece, end := r.router.next(ctx, r.flight)
-	if end != nil {
-		return &BrokenError{Fault: end.fault}
+	for {
+		piece, e := r.router.next(ctx, r.flight)
+		if e != nil {
+			if !r.router.replay(ctx, r, e) {
+				return &BrokenError{Fault: e.fault}
+			}
+		} else {
+			r.hand(piece)
+		}
+		if len(r.piece.Data) > 0 || r.piece.Done {
+			return nil
+		}
 	}
+}
+
+// hand makes the whole events of a piece the current one. What follows the last
+// event at the end of the stream is handed on too.
+func (r *Reply) hand(piece attempt.Piece) {
+	var data []byte
+	for _, event := range r.transcript.take(piece.Data) {
+		r.transcript.note(event)
+		data = append(data, event...)
+	}
+	if piece.Done {
+		data = append(data, r.transcript.part...)
+	}
+	piece.Data = data
 	r.piece = piece
-	return nil
 }
 
 // Close ends the request. An answer that is not whole is cancelled.
--- a/internal/traffic/request/router.go
+++ b/internal/traffic/request/router.go
@@ -204,14 +204,16 @@
 		return nil, e
 	}
 	if f.streamed() {
-		return &Reply{router: r, flight: f, piece: piece}, nil
+		reply := &Reply{router: r, job: j, flight: f}
+		reply.hand(piece)
+		return reply, nil
 	}
-	return r.collect(ctx, f, piece)
+	return r.collect(ctx, j, f, piece)
 }
 
 // collect reads a plain answer to its end, so that nothing of one that breaks
 // off reaches the caller.
-func (r *Router) collect(ctx context.Context, f *flight, piece attempt.Piece) (*Reply, *end) {
+func (r *Router) collect(ctx context.Context, j *job, f *flight, piece attempt.Piece) (*Reply, *end) {
 	data := piece.Data
 	for !piece.Done {
 		var e *end
@@ -222,7 +224,7 @@
 		data = append(data, piece.Data...)
 	}
 	piece.Data = data
-	return &Reply{router: r, flight: f, piece: piece}, nil
+	return &Reply{router: r, job: j, flight: f, piece: piece}, nil
 }
 
 func (r *Router) task(ctx context.Context, j *job, f *flight) attempt.Task {
