traffic/choice: a refresh keeps labels and order

Cause: each change of members worked out every endpoint's labels anew and sorted all by concatenated names.

--- a/internal/traffic/choice/table.go
+++ b/internal/traffic/choice/table.go
@@ -12,7 +12,6 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -145,16 +144,18 @@
 	}
 }
 
-// Refresh takes over the members and the configuration. What is known about an
-// endpoint's load stays.
+// Refresh takes over the members, which are sorted by name, and the
+// configuration. What is known about an endpoint's load stays, and so do its
+// labels unless the configuration has changed.
 func (t *Table) Refresh(members []membership.Member, c *configuration.Configuration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	same := t.config == c
 	t.config = c
 	before := t.endpoints
-	t.endpoints = make(map[string]*endpoint)
+	t.endpoints = make(map[string]*endpoint, len(members))
 	t.pools = make(map[poolKey][]*endpoint)
-	t.order = nil
+	t.order = make([]*endpoint, 0, len(members))
 	for _, m := range members {
 		in := m.Instance()
 		if in.Role != fulmardeal.RoleAgent {
@@ -164,19 +165,21 @@
 		if !known {
 			e = &endpoint{}
 		}
-		e.instance, e.serving = in, m.Serving()
-		if m.State() == membership.Suspect && e.aside.IsZero() {
-			e.aside = time.Now().Add(asideFirst)
-		}
-		if c != nil {
+		if c != nil && !(known && same) {
 			e.labels = c.EndpointLabels(in)
 		}
+		e.take(m)
 		t.endpoints[in.Incarnation] = e
 		t.order = append(t.order, e)
 	}
-	slices.SortFunc(t.order, func(a, b *endpoint) int {
-		return strings.Compare(a.instance.Name+a.instance.Incarnation, b.instance.Name+b.instance.Incarnation)
-	})
+}
+
+// take takes over what the members' table says of an endpoint.
+func (e *endpoint) take(m membership.Member) {
+	e.instance, e.serving = m.Instance(), m.Serving()
+	if m.State() == membership.Suspect && e.aside.IsZero() {
+		e.aside = time.Now().Add(asideFirst)
+	}
 }
 
 // Pick returns the endpoint to try next and counts the request towards it; End
--- a/internal/traffic/choice/table_test.go
+++ b/internal/traffic/choice/table_test.go
@@ -36,14 +36,8 @@
 endpoints = ""
 `
 
-// newTable returns the table of an entry in data centre a, with n endpoints in
-// each data centre.
-func newTable(t testing.TB, n int, change configuration.Document) (*Table, *configuration.Configuration) {
-	doc, err := configuration.ParseDocument("site", []byte(site))
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := configuration.State{}.With(doc).With(change).Evaluate()
+// members returns n endpoints in each of two data centres.
+func members(n int) []membership.Member {
 	m := membership.NewTable(fulmardeal.Instance{Incarnation: "self", Role: fulmardeal.RoleEntry}, 1)
 	var news []membership.News
 	for i := range 2 * n {
@@ -55,8 +49,19 @@
 		news = append(news, membership.News{Instance: in, Beat: 1})
 	}
 	m.Hear(time.Now(), news)
+	return m.Members()
+}
+
+// newTable returns the table of an entry in data centre a, with n endpoints in
+// each data centre.
+func newTable(t testing.TB, n int, change configuration.Document) (*Table, *configuration.Configuration) {
+	doc, err := configuration.ParseDocument("site", []byte(site))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := configuration.State{}.With(doc).With(change).Evaluate()
 	table := NewTable("entry", "a", "r", PolicyOurs, 1)
-	table.Refresh(m.Members(), c)
+	table.Refresh(members(n), c)
 	return table, c
 }
 
@@ -129,9 +134,25 @@
 			table, c := newTable(b, n, configuration.Document{})
 			w := wish(c, "noor")
 			for b.Loop() {
-				p, _ := table.Pick(time.Now(), w)
+				now := time.Now()
+				p, _ := table.Pick(now, w)
+				table.Heard(now.Add(aged), p.Instance.Incarnation, attempt.Room{Running: 1, Limit: 8})
 				table.End(p.Instance.Incarnation)
 			}
 		})
 	}
 }
+
+// BenchmarkRefresh shows what a change of members costs an entry.
+func BenchmarkRefresh(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 6000} {
+		b.Run(fmt.Sprint(2*n), func(b *testing.B) {
+			table, c := newTable(b, n, configuration.Document{})
+			all := members(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Refresh(all, c)
+			}
+		})
+	}
+}
