--- a/internal/weights/chunk/swarm.go
+++ b/internal/weights/chunk/swarm.go
@@ -347,6 +347,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.end(f)
+	if !s.book.Check(f.Index >= 0 && f.Index < s.manifest.Chunks(), "chunk", "chunk %d of %d stored", f.Index, s.manifest.Chunks()) {
+		return
+	}
 	s.has.Set(f.Index)
 	s.gained = now
 	if f.Peer == nil {
