--- a/internal/bench/control/config.go
+++ b/internal/bench/control/config.go
@@ -53,7 +53,7 @@
 		if err != nil {
 			return out, err
 		}
-		f.rest()
+		f.rest(ctx)
 		for _, sc := range []Scenario{LogUp, LogSlow, LogDown, Bursts} {
 			l, err := f.lag(ctx, sc)
 			if err != nil {
@@ -109,7 +109,7 @@
 	case LogSlow:
 		f.log.Set(platform.Faults{Delay: "400ms"})
 	}
-	return f.await(forceWait)
+	return f.await(ctx, forceWait)
 }
 
 // downOnceRead takes the log down as soon as any node has the last version.
