--- a/internal/bench/load/call.go
+++ b/internal/bench/load/call.go
@@ -126,6 +126,9 @@
 // refusal reads an entry's word on a request that it gave up.
 func (o *outcome) refusal(resp *http.Response) {
 	o.cause = resp.Header.Get(entry.HeaderCause)
+	if o.cause == "" {
+		o.cause = resp.Status
+	}
 	o.what = unknown
 	if resp.Header.Get(entry.HeaderRan) == "no" {
 		o.what = refused
