cli/command: scripts' ports that nobody else takes

Cause: a run of the tests failed with a port in use. The scripts took ports that the system had just given out and released, from the range that it also takes connections' own ports from; ten processes under load open many. Ports now come from below that range, each once in a run.

--- a/internal/cli/command/script_test.go
+++ b/internal/cli/command/script_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -49,13 +50,34 @@
 	})
 }
 
+// nextPort is the last port that was given to a script. Ports are below those
+// that the system gives to connections by itself, and none is given twice, so
+// that nobody else takes one before its process listens.
+var nextPort atomic.Int32
+
+const (
+	firstPort = 20_000
+	lastPort  = 30_000
+)
+
 // cmdPort sets each named variable to a free port.
 func cmdPort(ts *testscript.TestScript, _ bool, args []string) {
 	for _, a := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		ts.Setenv(a, fmt.Sprint(l.Addr().(*net.TCPAddr).Port))
-		ts.Check(l.Close())
+		ts.Setenv(a, fmt.Sprint(freePort(ts)))
+	}
+}
+
+func freePort(ts *testscript.TestScript) int {
+	for {
+		p := firstPort + int(nextPort.Add(1))
+		if p > lastPort {
+			ts.Fatalf("no port is free from %d to %d", firstPort, lastPort)
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		if err == nil {
+			ts.Check(l.Close())
+			return p
+		}
 	}
 }
 
