--- a/internal/cli/command/command.go
+++ b/internal/cli/command/command.go
@@ -42,14 +42,18 @@
 
 // logger returns the logger of a process: one line of key=value an event.
 func (e *environment) logger() *slog.Logger {
-	level := slog.LevelInfo
+	return slog.New(slog.NewTextHandler(e.err, &slog.HandlerOptions{Level: e.level()}))
+}
+
+// level returns the lowest level that is logged.
+func (e *environment) level() slog.Level {
 	switch {
 	case e.global.Verbose:
-		level = slog.LevelDebug
+		return slog.LevelDebug
 	case e.global.Quiet:
-		level = slog.LevelWarn
+		return slog.LevelWarn
 	}
-	return slog.New(slog.NewTextHandler(e.err, &slog.HandlerOptions{Level: level}))
+	return slog.LevelInfo
 }
 
 // Main runs the subcommand that the process's arguments name and returns the
@@ -110,6 +114,8 @@
 		{"local", "Run the whole system in this process", localHelp, &local{env: env}},
 		{"entry", "Run an entry", entryHelp, &entryCommand{env: env}},
 		{"agent", "Run the agent beside an endpoint", agentHelp, &agentCommand{env: env}},
+		{"gateway", "Run an entry on the users' platform", gatewayHelp, &gatewayCommand{env: env}},
+		{"loader", "Run the agent beside an engine on the users' platform", loaderHelp, &loaderCommand{env: env}},
 		{"standin", "Run a stand-in of the platform or an endpoint", standinHelp, &standin{env: env}},
 		{"check", "Check files of the configuration", checkHelp, &check{env: env}},
 		{"apply", "Change the configuration", applyHelp, &apply{env: env}},
--- /dev/null
+++ b/internal/process/gateway/gateway.go
@@ -0,0 +1,331 @@
+// Package gateway is the entry process on the users' platform: it takes
+// callers' requests, finds the route and the customer, and has package dispatch
+// choose an endpoint, to which it forwards directly. It keeps nothing that
+// another entry would need.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"fulmardeal"
+	"fulmardeal/internal/fleet/catalogue"
+	"fulmardeal/internal/fleet/feed"
+	"fulmardeal/internal/fleet/roster"
+	"fulmardeal/internal/traffic/budget"
+	"fulmardeal/internal/traffic/dispatch"
+	"fulmardeal/internal/traffic/forward"
+	"fulmardeal/internal/traffic/sharing"
+)
+
+// Times and bounds of an entry.
+const (
+	// operatorWait is how long a call waits for a change of the configuration.
+	// A connection that has gone silent is found after that and a call's
+	// timeout, well within the 5 s in which a removed key must be refused.
+	operatorWait = time.Second
+
+	// rosterEvery is how often the registrations are read. An endpoint's notice
+	// of leaving has to be known 2 s after it was written.
+	rosterEvery = 400 * time.Millisecond
+
+	tickEvery = 20 * time.Millisecond // room that comes with time alone
+
+	// revokeMargin is left between the last request with a key that can't be
+	// confirmed any more and the bound: a request may be on its way so long.
+	revokeMargin = 400 * time.Millisecond
+
+	// unreadyAfter is the silence of the store after which callers are better
+	// served by another entry. It is more than two calls take.
+	unreadyAfter = 2500 * time.Millisecond
+
+	// leaveWait is how long a leaving entry takes requests: the balancer asks
+	// once a second and believes the second answer.
+	leaveWait = 3 * time.Second
+
+	// leaveMargin is left between the end of the last answer and SIGKILL.
+	leaveMargin = 300 * time.Millisecond
+
+	memoryPart = 0.75 // of the memory limit, for the heap
+
+	defaultHeader = 64 << 10         // bytes; the configuration's limit is checked besides
+	defaultBody   = 4 << 20          // bytes
+	headerTimeout = 10 * time.Second // until the configuration is known
+	idleTimeout   = 60 * time.Second // longer than any caller keeps a connection
+
+	// repeatPart of the repeats that all entries may make is used: answers of
+	// endpoints that refuse count too, and requests spread unevenly.
+	repeatPart = 0.7
+)
+
+// Codec translates headers.
+type Codec interface {
+	ReadFacts(h http.Header) fulmardeal.Facts
+	WriteForward(caller http.Header, f fulmardeal.Forward) http.Header
+	ReadReply(status int, h http.Header) fulmardeal.Reply
+	WriteReply(endpoint http.Header) http.Header
+	WriteRefusal(h http.Header, attempt string, after time.Duration)
+}
+
+// Store is what a gateway uses of the platform's store.
+type Store interface {
+	sharing.Announcer
+	Operator() fulmardeal.Feed
+	Registrations() fulmardeal.Feed
+	Entries() fulmardeal.Feed
+}
+
+// Options are what a gateway is built from.
+type Options struct {
+	Site  fulmardeal.Site
+	Store Store
+	Codec Codec
+	Log   *slog.Logger
+	Seed  uint64
+}
+
+// Gateway is one entry process.
+type Gateway struct {
+	site      fulmardeal.Site
+	codec     Codec
+	log       *slog.Logger
+	catalogue catalogue.Table
+	roster    roster.Roster
+	table     *dispatch.Table
+	pool      *forward.Pool
+	mesh      *sharing.Mesh
+	operator  *feed.Follower
+	listed    *feed.Follower
+	stats     *Stats
+
+	callers   net.Listener
+	readiness net.Listener
+	leaving   atomic.Bool
+
+	mu      sync.Mutex
+	repeats map[string]*budget.Repeats // by service
+	longest map[string]time.Duration   // longest deadline seen, by route
+}
+
+// New opens the gateway's listeners. The returned function releases what it
+// holds.
+func New(o Options) (*Gateway, func(), error) {
+	var cleanups []func()
+	cleanup := func() {
+		for i := len(cleanups) - 1; i >= 0; i-- {
+			cleanups[i]()
+		}
+	}
+	stats, closeStats := newStats()
+	cleanups = append(cleanups, closeStats)
+	g := &Gateway{
+		site:    o.Site,
+		codec:   o.Codec,
+		log:     o.Log,
+		stats:   stats,
+		repeats: make(map[string]*budget.Repeats),
+		longest: make(map[string]time.Duration),
+	}
+	g.table = dispatch.New(dispatch.Options{
+		DataCentre: o.Site.DataCentre, Region: o.Site.Region, Regions: o.Site.Regions, Bounds: o.Site.Bounds, Seed: o.Seed,
+	})
+	pool, closePool := forward.NewPool()
+	g.pool = pool
+	cleanups = append(cleanups, closePool)
+	address := net.JoinHostPort(o.Site.Host, itoa(o.Site.Ports[0]))
+	mesh, closeMesh, err := sharing.NewMesh(sharing.Options{
+		Name: o.Site.Name, Listen: address, Table: g.table, Entries: o.Store.Entries(), Announce: o.Store, Log: o.Log,
+	})
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	g.mesh = mesh
+	cleanups = append(cleanups, closeMesh)
+	for _, l := range []struct {
+		address string
+		to      *net.Listener
+	}{{o.Site.Callers, &g.callers}, {o.Site.Readiness, &g.readiness}} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			cleanup()
+			return nil, nil, err
+		}
+		*l.to = listener
+		cleanups = append(cleanups, func() { listener.Close() })
+	}
+	g.operator = feed.New(feed.Options{Name: "operator", Feed: o.Store.Operator(), Wait: operatorWait, Apply: g.operated, Log: o.Log})
+	g.listed = feed.New(feed.Options{Name: "registrations", Feed: o.Store.Registrations(), Every: rosterEvery, Apply: g.registered, Log: o.Log})
+	return g, cleanup, nil
+}
+
+// operated takes over what operators have changed.
+func (g *Gateway) operated(b feed.Batch) {
+	now := time.Now()
+	events := g.catalogue.Apply(now, b)
+	for _, e := range events {
+		g.log.Info("in force", "what", e.What, "name", e.Name, "version", e.Version)
+	}
+	if len(events) > 0 {
+		g.table.Refresh(now, g.roster.List(), g.catalogue.View())
+	}
+}
+
+// registered takes over which endpoints there are.
+func (g *Gateway) registered(b feed.Batch) {
+	now := time.Now()
+	before := g.roster.Version()
+	g.roster.Apply(now, b)
+	if g.roster.Version() != before {
+		g.log.Info("endpoints changed", "endpoints", len(g.roster.List()), "silence", b.Silence)
+	}
+	if len(b.Changes) > 0 || g.roster.Version() != before {
+		g.table.Refresh(now, g.roster.List(), g.catalogue.View())
+	}
+}
+
+// Run works until the context ends, then leaves gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	if g.site.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(g.site.MemoryLimit)))
+	}
+	g.log.Info("started", "name", g.site.Name, "place", g.site.DataCentre, "callers", g.site.Callers)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	server := g.server()
+	ready := &http.Server{Handler: http.HandlerFunc(g.answerReady)}
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return serve(server, g.callers) })
+	group.Go(func() error { return serve(ready, g.readiness) })
+	group.Go(func() error { return g.operator.Run(work) })
+	group.Go(func() error { return g.listed.Run(work) })
+	group.Go(func() error { return g.mesh.Run(work) })
+	group.Go(func() error { g.tick(work); return nil })
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			g.leave(server)
+		case <-work.Done():
+		}
+		return errors.Join(server.Close(), ready.Close())
+	})
+	err := group.Wait()
+	g.log.Info("stopped", "err", err)
+	return err
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (g *Gateway) server() *http.Server {
+	return &http.Server{
+		Handler:           g,
+		MaxHeaderBytes:    defaultHeader,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
+}
+
+func (g *Gateway) tick(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := time.Now()
+		if g.roster.Expire(now) {
+			g.table.Refresh(now, g.roster.List(), g.catalogue.View())
+		}
+		g.table.Tick(now)
+	}
+}
+
+// leave goes on taking requests until the balancer has heard that the entry is
+// leaving, then lets those in progress end.
+func (g *Gateway) leave(s *http.Server) {
+	g.leaving.Store(true)
+	g.log.Info("leaving", "grace", g.site.Bounds.Grace)
+	begun := time.Now()
+	time.Sleep(leaveWait)
+	ctx, cancel := context.WithTimeout(context.Background(), g.site.Bounds.Grace-leaveMargin-time.Since(begun))
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		g.log.Warn("left before all requests ended", "err", err)
+	}
+}
+
+// ready reports whether callers are well served here.
+func (g *Gateway) ready() (bool, string) {
+	age, known := g.operator.Age()
+	_, listed := g.listed.Age()
+	switch {
+	case g.leaving.Load():
+		return false, "leaving"
+	case !known || !listed || g.catalogue.View().Catalogue() == nil:
+		return false, "starting"
+	case age > unreadyAfter:
+		return false, "store silent"
+	}
+	return true, "ready"
+}
+
+func (g *Gateway) answerReady(w http.ResponseWriter, _ *http.Request) {
+	ready, reason := g.ready()
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	// The balancer has no use for an answer that it can't be given.
+	_, _ = w.Write([]byte(reason + "\n"))
+}
+
+// confirmed reports whether the keys in force are known to be in force still.
+func (g *Gateway) confirmed() (time.Duration, bool) {
+	age, known := g.operator.Age()
+	return age, known && age < g.site.Bounds.Revoke-revokeMargin
+}
+
+// repeatsOf returns this entry's share of the repeats to a service.
+func (g *Gateway) repeatsOf(service string) *budget.Repeats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.repeats[service]
+	if r == nil {
+		b := g.site.Bounds
+		share := b.RepeatExtra * repeatPart / float64(1+g.mesh.Peers())
+		r = budget.NewRepeats(b.RepeatRatio*repeatPart, max(1, share))
+		g.repeats[service] = r
+	}
+	return r
+}
+
+// elapsed returns how long a caller has been at it already: callers that come
+// back after a refusal have less time than those that come first.
+func (g *Gateway) elapsed(route string, deadline time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if deadline > g.longest[route] {
+		g.longest[route] = deadline
+	}
+	if deadline == 0 {
+		return 0
+	}
+	return g.longest[route] - deadline
+}
--- /dev/null
+++ b/internal/process/gateway/stream.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fulmardeal"
+	"fulmardeal/internal/traffic/dispatch"
+	"fulmardeal/internal/traffic/forward"
+)
+
+// relay is how much of a stream the caller has.
+type relay struct {
+	begun   bool // its head has been sent
+	events  int
+	lastID  string // of the last event that was handed on
+	weights int64  // version that began the answer; another one must not go on with it
+}
+
+// resumeAfter returns the event after which the stream is to go on.
+func (r *relay) resumeAfter(caller string) string {
+	if r.lastID != "" {
+		return r.lastID
+	}
+	return caller
+}
+
+// readSize is how much of a stream is read at once.
+const readSize = 4 << 10 // bytes
+
+// mostEvent bounds one event of a stream.
+const mostEvent = 1 << 20 // bytes
+
+// stream hands on events as they arrive, whole ones only, so that what an
+// endpoint leaves unfinished can be resumed at another.
+func (j *job) stream(ctx context.Context, p *dispatch.Place, x *forward.Exchange, r fulmardeal.Reply) (verdict, dispatch.Fate) {
+	g := j.gateway
+	var rest []byte
+	buf := make([]byte, readSize)
+	silence := j.silence()
+	for {
+		n, err := x.Read(buf, silence)
+		rest = append(rest, buf[:n]...)
+		whole, after := cutEvents(rest)
+		if len(whole) > 0 {
+			p.First()
+			if !j.hand(x, r, whole) {
+				j.log.Info("caller left", "endpoint", p.Endpoint().ID(), "after", time.Since(j.begun), "events", j.relay.events)
+				return answered, dispatch.FateDropped
+			}
+			rest = append(rest[:0], after...)
+			silence = j.eventSilence()
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			if len(rest) > 0 || !j.relay.begun {
+				j.log.Warn("stream ends within an event", "endpoint", p.Endpoint().ID(), "events", j.relay.events)
+				return maybeRun, dispatch.FateFailed
+			}
+			x.Release(r.Keep)
+			g.stats.served(j.service, time.Since(j.begun))
+			return answered, dispatch.FateServed
+		case err != nil:
+			return j.unanswered(ctx, p, err)
+		case len(rest) > mostEvent:
+			j.log.Warn("event too long", "endpoint", p.Endpoint().ID(), "bytes", len(rest))
+			return maybeRun, dispatch.FateFailed
+		}
+	}
+}
+
+// eventSilence returns how long to wait for the next event.
+func (j *job) eventSilence() time.Duration {
+	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts {
+		return unboundedWait
+	}
+	return max(eventSilence, 2*j.route.Pause)
+}
+
+// hand writes whole events to the caller, the head before the first, and
+// reports whether the caller is still there. Events that it has are left out.
+func (j *job) hand(x *forward.Exchange, r fulmardeal.Reply, events []byte) bool {
+	if !j.relay.begun {
+		h := j.writer.Header()
+		for name, values := range j.gateway.codec.WriteReply(x.Header()) {
+			h[name] = values
+		}
+		noSniff(h)
+		j.relay.begun, j.relay.weights = true, r.Weights
+		j.gateway.stats.first(j.service, time.Since(j.begun))
+		j.writer.WriteHeader(x.Status())
+	}
+	out := events[:0:0]
+	for len(events) > 0 {
+		n := eventEnd(events)
+		event := events[:n]
+		events = events[n:]
+		id := eventID(event)
+		if id != "" && !laterID(id, j.relay.lastID) {
+			continue
+		}
+		if id != "" {
+			j.relay.lastID = id
+		}
+		j.relay.events++
+		out = append(out, event...)
+	}
+	if _, err := j.writer.Write(out); err != nil {
+		return false
+	}
+	return http.NewResponseController(j.writer).Flush() == nil
+}
+
+// eventEnd returns the length of the first event with the blank line that ends
+// it, or 0 when it isn't whole.
+func eventEnd(data []byte) int {
+	n := 0
+	if i := bytes.Index(data, []byte("\n\n")); i >= 0 {
+		n = i + 2
+	}
+	if i := bytes.Index(data, []byte("\r\n\r\n")); i >= 0 && (n == 0 || i+4 < n) {
+		n = i + 4
+	}
+	return n
+}
+
+// cutEvents parts whole events from what follows them.
+func cutEvents(data []byte) (whole, rest []byte) {
+	at := 0
+	for {
+		n := eventEnd(data[at:])
+		if n == 0 {
+			return data[:at], data[at:]
+		}
+		at += n
+	}
+}
+
+// eventID returns the id of an event, empty when it has none.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if v, is := bytes.CutPrefix(line, []byte("id:")); is {
+			return strings.TrimSpace(string(v))
+		}
+	}
+	return ""
+}
+
+// laterID reports whether an event comes after the last one. Ids increase; one
+// that is no number is taken for a later one.
+func laterID(id, last string) bool {
+	a, err := strconv.ParseInt(id, 10, 64)
+	b, err2 := strconv.ParseInt(last, 10, 64)
+	return err != nil || err2 != nil || a > b
+}
+
+// lotOf returns a number from 0 to 1 that is always the same for a text.
+func lotOf(s string) float64 { return float64(xxhash.Sum64String(s)>>11) / (1 << 53) }
+
+func itoa(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/internal/process/loader/origin.go
@@ -0,0 +1,68 @@
+package loader
+
+import (
+	"context"
+	"sync"
+
+	"fulmardeal"
+)
+
+// origin is the origin of weights at the address that the configuration names
+// now.
+type origin struct {
+	open OpenOrigin
+
+	mu      sync.Mutex
+	address string
+	current fulmardeal.Origin
+	release func()
+}
+
+// at moves to an address.
+func (o *origin) at(address string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if address == o.address {
+		return
+	}
+	if o.release != nil {
+		o.release()
+	}
+	o.address = address
+	o.current, o.release = o.open(address)
+}
+
+func (o *origin) close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.release != nil {
+		o.release()
+	}
+}
+
+func (o *origin) get() (fulmardeal.Origin, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.current == nil {
+		return nil, &fulmardeal.MissingError{Service: "configuration", Thing: "an origin of weights"}
+	}
+	return o.current, nil
+}
+
+// Manifest returns the encoded manifest of v.
+func (o *origin) Manifest(ctx context.Context, v fulmardeal.Version) ([]byte, error) {
+	c, err := o.get()
+	if err != nil {
+		return nil, err
+	}
+	return c.Manifest(ctx, v)
+}
+
+// Chunk returns the bytes of one chunk, unchecked.
+func (o *origin) Chunk(ctx context.Context, v fulmardeal.Version, index int) ([]byte, error) {
+	c, err := o.get()
+	if err != nil {
+		return nil, err
+	}
+	return c.Chunk(ctx, v, index)
+}
--- /dev/null
+++ b/internal/process/logbook/logbook.go
@@ -0,0 +1,142 @@
+// Package logbook writes a process's log: one line of key=value an event, to a
+// writer that may be slow or stop reading. Lines wait in a bounded queue;
+// logging never blocks. Lines of one kind beyond a rate are left out, and how
+// many is said.
+package logbook
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// Bounds of a log.
+const (
+	queueLength = 4096 // lines; at some 250 bytes a line about 1 MB
+	kindRate    = 200  // lines a second of one message below Warn
+	warnRate    = 500  // lines a second of one message from Warn on
+)
+
+// Book takes lines and writes them. It is a slog.Handler's writer.
+type Book struct {
+	lines chan []byte
+	quit  chan struct{}
+	done  chan struct{}
+
+	mu     sync.Mutex
+	second int64
+	counts map[string]int
+	left   int // lines left out in this second
+	lost   int // lines that found the queue full
+}
+
+// New returns a logger that writes to w, and a function that writes what waits
+// and stops.
+func New(w io.Writer, level slog.Leveler) (*slog.Logger, *Book, func()) {
+	b := &Book{lines: make(chan []byte, queueLength), quit: make(chan struct{}), done: make(chan struct{}), counts: make(map[string]int)}
+	go b.write(w)
+	h := &handler{book: b, text: slog.NewTextHandler(b, &slog.HandlerOptions{Level: level})}
+	return slog.New(h), b, func() {
+		close(b.quit)
+		<-b.done
+	}
+}
+
+// Lost returns how many lines were not written.
+func (b *Book) Lost() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lost
+}
+
+// Write queues one line.
+func (b *Book) Write(line []byte) (int, error) {
+	select {
+	case b.lines <- bytes.Clone(line):
+	default:
+		b.mu.Lock()
+		b.lost++
+		b.mu.Unlock()
+	}
+	return len(line), nil
+}
+
+// write joins the lines that wait into one write.
+func (b *Book) write(w io.Writer) {
+	defer close(b.done)
+	var buf bytes.Buffer
+	for quit := false; !quit; {
+		select {
+		case line := <-b.lines:
+			buf.Write(line)
+		case <-b.quit:
+			quit = true
+		}
+		for n := len(b.lines); n > 0; n-- {
+			buf.Write(<-b.lines)
+		}
+		// There is nowhere to report that the log can't be written.
+		_, _ = w.Write(buf.Bytes())
+		buf.Reset()
+	}
+}
+
+// admit reports whether a line of a kind is within its rate, and how many were
+// left out in the second before.
+func (b *Book) admit(now time.Time, kind string, level slog.Level) (ok bool, left int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := now.Unix(); s != b.second {
+		left, b.left, b.second = b.left, 0, s
+		b.lost += left
+		clear(b.counts)
+	}
+	most := kindRate
+	if level >= slog.LevelWarn {
+		most = warnRate
+	}
+	if b.counts[kind] >= most {
+		b.left++
+		return false, left
+	}
+	b.counts[kind]++
+	return true, left
+}
+
+// handler formats lines as text.
+type handler struct {
+	book *Book
+	text slog.Handler
+}
+
+// Enabled reports whether lines of a level are written.
+func (h *handler) Enabled(ctx context.Context, l slog.Level) bool { return h.text.Enabled(ctx, l) }
+
+// Handle queues a line unless there are too many of its kind.
+func (h *handler) Handle(ctx context.Context, r slog.Record) error {
+	ok, left := h.book.admit(r.Time, r.Message, r.Level)
+	if left > 0 {
+		line := fmt.Sprintf("time=%s level=WARN msg=\"lines left out\" lines=%d\n", r.Time.Format(time.RFC3339Nano), left)
+		if _, err := h.book.Write([]byte(line)); err != nil {
+			return err
+		}
+	}
+	if !ok {
+		return nil
+	}
+	return h.text.Handle(ctx, r)
+}
+
+// WithAttrs returns a handler that adds attributes.
+func (h *handler) WithAttrs(a []slog.Attr) slog.Handler {
+	return &handler{book: h.book, text: h.text.WithAttrs(a)}
+}
+
+// WithGroup returns a handler that opens a group.
+func (h *handler) WithGroup(name string) slog.Handler {
+	return &handler{book: h.book, text: h.text.WithGroup(name)}
+}
--- a/internal/process/monitor/monitor.go
+++ b/internal/process/monitor/monitor.go
@@ -31,7 +31,7 @@
 type Monitor struct {
 	node     *node.Node
 	gauges   func() []Gauge
-	table    *table
+	table    *Table
 	scope    tally.Scope
 	listener net.Listener
 	server   *fasthttp.Server
@@ -40,7 +40,7 @@
 // New opens the monitor's listener; an empty address opens none. Gauges returns
 // the role's own figures. The returned function releases what it holds.
 func New(address string, n *node.Node, gauges func() []Gauge) (*Monitor, func(), error) {
-	m := &Monitor{node: n, gauges: gauges, table: newTable()}
+	m := &Monitor{node: n, gauges: gauges, table: NewTable()}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "fulmardeal", Reporter: m.table, Separator: "_"}, reportEvery)
 	m.scope = scope
 	cleanup := func() { closer.Close() }
@@ -127,7 +127,7 @@
 		}
 		ctx.SetBodyString(reason + "\n")
 	case "/metrics":
-		m.table.write(ctx)
+		m.table.Write(ctx)
 	case "/dump":
 		data, err := m.dump()
 		if err != nil {
--- a/internal/process/monitor/table.go
+++ b/internal/process/monitor/table.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -17,16 +19,17 @@
 	value float64
 }
 
-// table keeps the last values that tally reports and writes them as text. It is
+// Table keeps the last values that tally reports and writes them as text. It is
 // a tally.StatsReporter.
-type table struct {
+type Table struct {
 	mu   sync.Mutex
 	rows []row // sorted by name
 }
 
-func newTable() *table { return &table{} }
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{} }
 
-func (t *table) set(name string, f func(old float64) float64) {
+func (t *Table) set(name string, f func(old float64) float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	i, known := slices.BinarySearchFunc(t.rows, name, func(r row, n string) int { return strings.Compare(r.name, n) })
@@ -36,8 +39,8 @@
 	t.rows[i].value = f(t.rows[i].value)
 }
 
-// write writes one line a metric.
-func (t *table) write(w io.Writer) {
+// Write writes one line a metric.
+func (t *Table) Write(w io.Writer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range t.rows {
@@ -46,38 +49,57 @@
 }
 
 // ReportCounter adds to a counter.
-func (t *table) ReportCounter(name string, _ map[string]string, v int64) {
-	t.set(name, func(old float64) float64 { return old + float64(v) })
+func (t *Table) ReportCounter(name string, tags map[string]string, v int64) {
+	t.set(tagged(name, tags), func(old float64) float64 { return old + float64(v) })
 }
 
 // ReportGauge sets a gauge.
-func (t *table) ReportGauge(name string, _ map[string]string, v float64) {
-	t.set(name, func(float64) float64 { return v })
+func (t *Table) ReportGauge(name string, tags map[string]string, v float64) {
+	t.set(tagged(name, tags), func(float64) float64 { return v })
 }
 
 // ReportTimer sets a time, in seconds.
-func (t *table) ReportTimer(name string, _ map[string]string, d time.Duration) {
-	t.set(name, func(float64) float64 { return d.Seconds() })
+func (t *Table) ReportTimer(name string, tags map[string]string, d time.Duration) {
+	t.set(tagged(name, tags), func(float64) float64 { return d.Seconds() })
 }
 
 // ReportHistogramValueSamples does nothing: no histogram is used.
-func (t *table) ReportHistogramValueSamples(string, map[string]string, tally.Buckets, float64, float64, int64) {
+func (t *Table) ReportHistogramValueSamples(string, map[string]string, tally.Buckets, float64, float64, int64) {
 }
 
-// ReportHistogramDurationSamples does nothing: no histogram is used.
-func (t *table) ReportHistogramDurationSamples(string, map[string]string, tally.Buckets, time.Duration, time.Duration, int64) {
+// ReportHistogramDurationSamples adds to the count of a bucket, which is named
+// by its upper bound in seconds.
+func (t *Table) ReportHistogramDurationSamples(name string, tags map[string]string, _ tally.Buckets, _, upper time.Duration, samples int64) {
+	bound := strconv.FormatFloat(upper.Seconds(), 'g', 4, 64)
+	if upper == math.MaxInt64 {
+		bound = "inf"
+	}
+	t.set(tagged(name+"_"+bound, tags), func(old float64) float64 { return old + float64(samples) })
+}
+
+// tagged returns a metric's name with its tags.
+func tagged(name string, tags map[string]string) string {
+	if len(tags) == 0 {
+		return name
+	}
+	var parts []string
+	for k, v := range tags {
+		parts = append(parts, k+"="+v)
+	}
+	slices.Sort(parts)
+	return name + "{" + strings.Join(parts, ",") + "}"
 }
 
 // Capabilities describes the reporter.
-func (t *table) Capabilities() tally.Capabilities { return capabilities{} }
+func (t *Table) Capabilities() tally.Capabilities { return capabilities{} }
 
 // Flush does nothing: values are read when they are asked for.
-func (t *table) Flush() {}
+func (t *Table) Flush() {}
 
 type capabilities struct{}
 
 // Reporting reports that metrics are taken.
 func (capabilities) Reporting() bool { return true }
 
-// Tagging reports that tags are not.
-func (capabilities) Tagging() bool { return false }
+// Tagging reports that tags are kept.
+func (capabilities) Tagging() bool { return true }
--- /dev/null
+++ b/internal/traffic/dispatch/endpoint.go
@@ -0,0 +1,149 @@
+// Package dispatch decides where a request goes, whether it waits, when it is
+// turned away, and when its caller should come back. It holds what an entry
+// knows of the endpoints; it sends nothing.
+//
+// The four decisions have a file each, which names the load pattern that it
+// answers: placing.go, waiting.go, rejecting.go, returning.go.
+package dispatch
+
+import (
+	"time"
+
+	"fulmardeal"
+)
+
+// Times and weights of what an entry believes of an endpoint.
+const (
+	suspectFirst = 300 * time.Millisecond // two answers of a healthy engine
+	suspectMost  = 4 * time.Second        // bounds the requests lost to an endpoint that is dark for longer
+	fullFor      = 60 * time.Millisecond  // about one pass of an engine
+	awayFor      = 500 * time.Millisecond // an endpoint's next registration is at most a beat and a poll away
+	noticeFor    = 3 * time.Second        // two beats and a poll: then the registration tells the same
+	failWeight   = 0.15                   // of one answer in the mean share of failures
+	coldWindow   = time.Second            // over which a cold endpoint's requests are counted
+)
+
+// Endpoint is what this entry knows of one endpoint. The table's lock guards it.
+type Endpoint struct {
+	registration fulmardeal.Registration
+	service      *fulmardeal.Service
+	region       string
+	distance     time.Duration // added to a predicted time: what the way there costs
+	hash         uint64        // of the id, in messages between entries
+
+	running int // requests of this entry
+	unread  int // prompt tokens of those that have not begun to answer
+
+	weights   int64 // version whose layers are all held; 0 is none
+	noticed   time.Time
+	loading   time.Time // it is taking new weights until about then
+	suspect   time.Time // it is passed over until then
+	failures  int       // in a row
+	failing   float64   // mean share of failures
+	full      time.Time // it had no room; passed over until then
+	away      time.Time // it is not what it was; passed over until then
+	coldUntil time.Time
+	sent      []time.Time // in the last second, while cold
+}
+
+// ID returns the endpoint's id.
+func (e *Endpoint) ID() string { return e.registration.ID }
+
+// Address returns where the endpoint listens.
+func (e *Endpoint) Address() string { return e.registration.Address }
+
+// Most returns how many connections the endpoint accepts.
+func (e *Endpoint) Most() int { return e.service.Connections }
+
+// engine returns how the endpoint works if it is an engine, else nil.
+func (e *Endpoint) engine() *fulmardeal.EngineSpec { return e.service.Engine }
+
+// slots returns how many requests the endpoint runs at once; 0 when unknown.
+func (e *Endpoint) slots() int {
+	if s := e.engine(); s != nil && s.Slots > 0 {
+		return s.Slots
+	}
+	return e.registration.Slots
+}
+
+// register takes over a newer registration of the same id.
+func (e *Endpoint) register(now time.Time, r fulmardeal.Registration, s *fulmardeal.Service) {
+	reborn := !e.registration.Born.Equal(r.Born)
+	if reborn {
+		e.noticed, e.loading, e.suspect, e.failures, e.failing = time.Time{}, time.Time{}, time.Time{}, 0, 0
+	}
+	if e.registration.Sequence != r.Sequence {
+		e.away = time.Time{}
+	}
+	e.registration, e.service = r, s
+	if r.ColdLeft > 0 {
+		e.coldUntil = now.Add(r.ColdLeft)
+	}
+	if s.Engine != nil && now.Sub(e.noticed) > noticeFor {
+		e.weights = r.Holds(s.Engine.Layers)
+	}
+}
+
+// heed takes what the agent beside an engine says of it.
+func (e *Endpoint) heed(now time.Time, weights int64, loading bool) {
+	e.noticed = now
+	e.weights = weights
+	e.loading = time.Time{}
+	if loading {
+		e.loading = now.Add(noticeFor)
+	}
+}
+
+// Fate says how an attempt at an endpoint ended.
+type Fate int
+
+// The fates of attempts.
+const (
+	FateServed  Fate = iota
+	FateFull         // not run: no room
+	FateAway         // not run: it is another endpoint, or lacks the weights
+	FateFailed       // unreachable, broken off, or wrong
+	FateDropped      // the caller left or the time was up; tells nothing
+)
+
+// learn takes over how an attempt ended.
+func (e *Endpoint) learn(now time.Time, f Fate) {
+	switch f {
+	case FateServed:
+		e.failures = 0
+		e.failing -= failWeight * e.failing
+	case FateFull:
+		e.full = now.Add(fullFor)
+	case FateAway:
+		e.away = now.Add(awayFor)
+	case FateFailed:
+		e.suspect = now.Add(min(suspectFirst<<min(e.failures, 8), suspectMost))
+		e.failures++
+		e.failing += failWeight * (1 - e.failing)
+	}
+}
+
+// mayColdRun reports whether a cold endpoint bears one more request of this
+// entry now. Entries share what it bears evenly.
+func (e *Endpoint) mayColdRun(now time.Time, entries int) bool {
+	if e.service.ColdRate <= 0 || !now.Before(e.coldUntil) {
+		return true
+	}
+	n := 0
+	for _, t := range e.sent {
+		if now.Sub(t) < coldWindow {
+			n++
+		}
+	}
+	return float64(n+1) <= max(1, e.service.ColdRate/float64(entries))
+}
+
+func (e *Endpoint) noteSent(now time.Time) {
+	if e.service.ColdRate <= 0 {
+		return
+	}
+	for len(e.sent) > 0 && now.Sub(e.sent[0]) >= coldWindow {
+		e.sent = e.sent[1:]
+	}
+	e.sent = append(e.sent, now)
+}
--- /dev/null
+++ b/internal/traffic/dispatch/placing.go
@@ -0,0 +1,198 @@
+package dispatch
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"fulmardeal"
+)
+
+// Weights of placing.
+const (
+	// tieWithin is how close two predictions are for chance to decide. It is
+	// longer than entries take to hear of each other's sends, so that they
+	// don't all pick the same engine.
+	tieWithin = 15 * time.Millisecond
+
+	// failingCost is what a share of failures of 1 adds to a prediction: about
+	// the time that a repeat takes.
+	failingCost = 400 * time.Millisecond
+
+	// plainQueue is how many requests a plain endpoint may have waiting for
+	// each slot.
+	plainQueue = 1.0
+
+	// versionMargin is left between the last send to an engine with older
+	// weights and the bound: the time that a request may wait in the engine
+	// before it begins.
+	versionMargin = 700 * time.Millisecond
+)
+
+// Want is what a request needs of an endpoint.
+type Want struct {
+	Service   string
+	Homes     [][]string // of route and customer; each that isn't empty binds
+	Prompt    int        // tokens
+	Output    int
+	Exact     int64    // the version of the weights that must answer; 0 is any
+	Tried     []string // ids of endpoints that are not to be asked again
+	Worth     float64  // relative to the mean request of the service
+	Latest    time.Time
+	Objective time.Time // when its answer, or first event, should be there
+}
+
+// others are what other entries have at one endpoint.
+type others struct {
+	running int
+	unread  int
+}
+
+// field is what placing looks at besides the endpoints.
+type field struct {
+	now     time.Time
+	entries int // that are alive, this one too
+	others  func(hash uint64) others
+	out     func(place string) bool
+	older   bool // engines with older weights may still be used
+	wanted  int64
+}
+
+// serves reports whether an endpoint may get the request at all, now or as
+// soon as it has room.
+func serves(f *field, e *Endpoint, w *Want) bool {
+	r := &e.registration
+	if r.Draining || f.out(r.DataCentre) || slices.Contains(w.Tried, r.ID) {
+		return false
+	}
+	for _, homes := range w.Homes {
+		if len(homes) > 0 && !slices.Contains(homes, e.region) {
+			return false
+		}
+	}
+	if e.engine() == nil {
+		return true
+	}
+	if e.weights == 0 || w.Exact != 0 && e.weights != w.Exact {
+		return false
+	}
+	return f.older || e.weights >= f.wanted
+}
+
+// room reports whether an endpoint can begin the request at once.
+func room(f *field, e *Endpoint, w *Want) bool {
+	now := f.now
+	if now.Before(e.full) || now.Before(e.away) || now.Before(e.loading) {
+		return false
+	}
+	if !e.mayColdRun(now, f.entries) {
+		return false
+	}
+	slots := e.slots()
+	if slots == 0 {
+		return true
+	}
+	n := e.running + f.others(e.hash).running
+	if e.engine() == nil {
+		return float64(n) < float64(slots)*(1+plainQueue)
+	}
+	return n < slots+engineAhead
+}
+
+// engineAhead is how many requests an engine may hold beyond its slots, so that
+// a place that comes free within a pass is taken in the next.
+const engineAhead = 1
+
+// predict returns how long the request takes to its first event at an endpoint,
+// and what the way there costs.
+func predict(f *field, e *Endpoint, w *Want) time.Duration {
+	o := f.others(e.hash)
+	cost := e.distance + time.Duration(e.failing*float64(failingCost))
+	s := e.engine()
+	if s == nil {
+		n := e.running + o.running
+		return cost + time.Duration(float64(n)/float64(max(1, e.slots()))*float64(plainTime))
+	}
+	return cost + firstEvent(s, e.running+o.running, e.unread+o.unread, w.Prompt)
+}
+
+// plainTime is a guess at how long a plain endpoint takes. It only has to order
+// endpoints by how busy they are.
+const plainTime = 60 * time.Millisecond
+
+// usualContext is the tokens of one running request, for the time of a step.
+const usualContext = 1000
+
+// firstEvent predicts the time to the first event of a request at an engine
+// that runs so many and has so many prompt tokens to read before. An engine
+// works in passes: what waits is read between the steps of those that write.
+func firstEvent(s *fulmardeal.EngineSpec, running, unread, prompt int) time.Duration {
+	n := float64(min(running, s.Slots))
+	step := s.Step + n*(s.PerSequence+s.PerContext*usualContext/1000)
+	pass := float64(max(1, s.Stride)) * step
+	read := 0.0
+	if s.ReadRate > 0 {
+		read = float64(unread+prompt) / s.ReadRate * 1000
+	}
+	begun := pass / 2 // of the pass in progress, on average
+	if running == 0 {
+		begun = 0
+	}
+	return time.Duration((begun + read + pass) * float64(time.Millisecond))
+}
+
+// place picks the endpoint that will answer soonest among those with room. It
+// answers steady load on engines of unequal fill, and bursts that several
+// entries place at once without seeing each other's sends: near ties are drawn
+// by lot. known reports whether any endpoint may serve the request, with room
+// or not.
+func place(f *field, all []*Endpoint, w *Want, random *rand.Rand) (best *Endpoint, known bool) {
+	least := time.Duration(math.MaxInt64)
+	times := make([]time.Duration, len(all))
+	for i, e := range all {
+		times[i] = -1
+		if !serves(f, e, w) {
+			continue
+		}
+		known = true
+		if f.now.Before(e.suspect) || !room(f, e, w) {
+			continue
+		}
+		times[i] = predict(f, e, w)
+		least = min(least, times[i])
+	}
+	n := 0
+	for i, e := range all {
+		if times[i] < 0 || times[i] > least+tieWithin {
+			continue
+		}
+		n++
+		if random.IntN(n) == 0 {
+			best = e
+		}
+	}
+	if best == nil && known {
+		best = lastResort(f, all, w)
+	}
+	return best, known
+}
+
+// lastResort picks the endpoint whose suspicion ends first when every endpoint
+// that may serve is suspected: trying one is the only way to learn of their
+// return, and to serve anything.
+func lastResort(f *field, all []*Endpoint, w *Want) *Endpoint {
+	var best *Endpoint
+	for _, e := range all {
+		if !serves(f, e, w) {
+			continue
+		}
+		if !f.now.Before(e.suspect) {
+			return nil // it only lacks room
+		}
+		if room(f, e, w) && (best == nil || e.suspect.Before(best.suspect)) {
+			best = e
+		}
+	}
+	return best
+}
--- a/internal/traffic/request/replay.go
+++ b/internal/traffic/request/replay.go
@@ -18,7 +18,7 @@
 	if !old.job.request.Safe || e.cause == CauseLate || e.cause == CauseForgone || e.fault == attempt.FaultLarge {
 		return false
 	}
-	if !enough(ctx) || !r.repeats.spend() {
+	if !enough(ctx) || !r.repeats.Spend() {
 		return false
 	}
 	j := &job{request: old.job.request, ran: attempt.RanUnknown, tried: []string{old.flight.agent.Incarnation}}
--- a/internal/traffic/request/router.go
+++ b/internal/traffic/request/router.go
@@ -11,6 +11,7 @@
 	"fulmardeal"
 	"fulmardeal/internal/link/connection"
 	"fulmardeal/internal/traffic/attempt"
+	"fulmardeal/internal/traffic/budget"
 	"fulmardeal/internal/traffic/choice"
 )
 
@@ -39,7 +40,7 @@
 	claims  Claimer
 	log     *slog.Logger
 	version func() fulmardeal.Offset
-	repeats repeats
+	repeats *budget.Repeats
 
 	mu    sync.Mutex
 	lines map[string]*line // by service and model
@@ -53,7 +54,7 @@
 		claims:  k,
 		log:     log,
 		version: version,
-		repeats: repeats{have: repeatBurst},
+		repeats: budget.NewRepeats(repeatPart, repeatBurst),
 		lines:   make(map[string]*line),
 	}
 }
@@ -83,7 +84,7 @@
 // *RefusedError. The context carries the deadline, and ends when the caller
 // hangs up.
 func (r *Router) Do(ctx context.Context, q Request) (*Reply, error) {
-	r.repeats.earn()
+	r.repeats.Earn()
 	l := r.line(q)
 	j := newJob(q)
 	if !l.busy() {
@@ -282,7 +283,7 @@
 	if !j.request.Safe || e.cause == CauseLate || e.cause == CauseForgone || e.fault == attempt.FaultLarge {
 		return false
 	}
-	if !r.repeats.spend() {
+	if !r.repeats.Spend() {
 		j.last.cause = CauseSpent
 		return false
 	}
--- /dev/null
+++ b/internal/traffic/sharing/mesh.go
@@ -0,0 +1,275 @@
+package sharing
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/traffic/dispatch"
+)
+
+// Times of a mesh.
+const (
+	// tellEvery is how often loads are told. In that time an entry sends about
+	// two requests at the peak of the small deployments.
+	tellEvery = 20 * time.Millisecond
+
+	// tellEach stretches it by the number of entries, which bounds what an
+	// entry spends on listening to all others to 250 datagrams a second.
+	tellEach = 4 * time.Millisecond
+
+	// listEvery is how often the list of entries is read again. New entries
+	// make themselves known at once; the list finds those that were cut off.
+	listEvery = 5 * time.Second
+	listRetry = 300 * time.Millisecond
+
+	peerGone = 10 * time.Second // after such a silence an entry is told nothing until it is listed again
+)
+
+// Announcer writes where this entry listens.
+type Announcer interface {
+	Announce(ctx context.Context, name, address string) error
+}
+
+// Options are what a mesh is built from.
+type Options struct {
+	Name     string
+	Listen   string
+	Table    *dispatch.Table
+	Entries  fulmardeal.Feed
+	Announce Announcer
+	Log      *slog.Logger
+}
+
+// Mesh is an entry's part in the sharing.
+type Mesh struct {
+	options Options
+	conn    *net.UDPConn
+
+	mu     sync.Mutex
+	peers  map[string]*member // by address
+	rounds map[string]*loadsPart
+}
+
+// member is another entry.
+type member struct {
+	address *net.UDPAddr
+	heard   time.Time
+}
+
+// NewMesh opens the mesh's socket. The returned function closes it.
+func NewMesh(o Options) (*Mesh, func(), error) {
+	a, err := net.ResolveUDPAddr("udp4", o.Listen)
+	if err != nil {
+		return nil, nil, err
+	}
+	c, err := net.ListenUDP("udp4", a)
+	if err != nil {
+		return nil, nil, err
+	}
+	m := &Mesh{options: o, conn: c, peers: make(map[string]*member), rounds: make(map[string]*loadsPart)}
+	return m, func() { c.Close() }, nil
+}
+
+// Run announces this entry, tells the others and listens until the context
+// ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	go m.listen()
+	go m.list(ctx)
+	t := time.NewTimer(tellEvery)
+	defer t.Stop()
+	for round := uint64(1); ; round++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		t.Reset(max(tellEvery, time.Duration(m.tell(round))*tellEach))
+	}
+}
+
+// tell sends the loads to the other entries and returns their number.
+func (m *Mesh) tell(round uint64) int {
+	now := time.Now()
+	m.mu.Lock()
+	var to []*net.UDPAddr
+	for key, p := range m.peers {
+		if now.Sub(p.heard) > peerGone {
+			delete(m.peers, key)
+			continue
+		}
+		to = append(to, p.address)
+	}
+	m.mu.Unlock()
+	if len(to) == 0 {
+		return 0
+	}
+	for _, b := range encodeLoads(m.options.Name, round, m.options.Table.Loads()) {
+		for _, a := range to {
+			// A datagram that can't be sent is as good as lost.
+			_, _ = m.conn.WriteToUDP(b, a)
+		}
+	}
+	return len(to)
+}
+
+func (m *Mesh) listen() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := m.conn.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || n == 0 {
+			continue // such as a peer's port that nobody listens on
+		}
+		if err := m.take(from, buf[:n]); err != nil {
+			m.options.Log.Warn("datagram dropped", "from", from.String(), "err", err)
+		}
+	}
+}
+
+func (m *Mesh) take(from *net.UDPAddr, data []byte) error {
+	now := time.Now()
+	switch data[0] {
+	case kindNotice:
+		n, err := decodeNotice(data[1:])
+		if err != nil {
+			return err
+		}
+		m.options.Log.Info("engine told", "endpoint", n.Address, "weights", n.Weights, "loading", n.Loading)
+		m.options.Table.Heed(now, n.Address, n.Weights, n.Loading)
+		return nil
+	case kindLoads:
+		p, err := decodeLoads(data[1:])
+		if err != nil {
+			return err
+		}
+		m.meet(now, from)
+		if loads, whole := m.join(p); whole {
+			m.options.Table.Hear(now, p.entry, loads)
+		}
+		return nil
+	}
+	return &MessageError{Reason: "kind not known"}
+}
+
+// join puts the parts of one round together.
+func (m *Mesh) join(p loadsPart) ([]dispatch.Load, bool) {
+	if p.parts == 1 {
+		return p.loads, true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	have := m.rounds[p.entry]
+	if have == nil || have.round != p.round || have.part+1 != p.part {
+		if p.part == 0 {
+			m.rounds[p.entry] = &p
+		}
+		return nil, false
+	}
+	have.part = p.part
+	have.loads = append(have.loads, p.loads...)
+	return have.loads, p.part+1 == p.parts
+}
+
+func (m *Mesh) meet(now time.Time, a *net.UDPAddr) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := a.String()
+	if p := m.peers[key]; p != nil {
+		p.heard = now
+		return
+	}
+	m.peers[key] = &member{address: a, heard: now}
+	m.options.Log.Info("entry met", "address", key)
+}
+
+// list announces this entry and reads where the others listen.
+func (m *Mesh) list(ctx context.Context) {
+	announced := false
+	for ctx.Err() == nil {
+		pause := listEvery
+		if !announced {
+			if err := m.options.Announce.Announce(ctx, m.options.Name, m.options.Listen); err != nil {
+				m.options.Log.Warn("not announced", "err", err)
+				pause = listRetry
+			} else {
+				announced = true
+			}
+		}
+		addresses, err := Addresses(ctx, m.options.Entries)
+		if err != nil {
+			m.options.Log.Warn("entries not listed", "err", err)
+			pause = listRetry
+		}
+		for _, a := range addresses {
+			if a.String() != m.options.Listen {
+				m.meetListed(a)
+			}
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (m *Mesh) meetListed(a *net.UDPAddr) {
+	m.mu.Lock()
+	_, known := m.peers[a.String()]
+	m.mu.Unlock()
+	if !known {
+		m.meet(time.Now(), a)
+	}
+}
+
+// Addresses returns where the entries listen.
+func Addresses(ctx context.Context, f fulmardeal.Feed) ([]*net.UDPAddr, error) {
+	changes, _, err := f.Newest(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var out []*net.UDPAddr
+	for _, c := range changes {
+		if c.Address == "" {
+			continue
+		}
+		a, err := net.ResolveUDPAddr("udp4", c.Address)
+		if err != nil {
+			continue // another writer's record; it names no entry
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
+// Tell sends a notice about an engine to the entries.
+func Tell(n Notice, entries []*net.UDPAddr) error {
+	c, err := net.ListenUDP("udp4", nil)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	b := encodeNotice(n)
+	var all error
+	for _, a := range entries {
+		if _, err := c.WriteToUDP(b, a); err != nil {
+			all = errors.Join(all, err)
+		}
+	}
+	return all
+}
+
+// Peers returns how many other entries are told.
+func (m *Mesh) Peers() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers)
+}
--- /dev/null
+++ b/internal/traffic/sharing/message.go
@@ -0,0 +1,158 @@
+// Package sharing lets entries tell each other what they have at which
+// endpoint, and lets agents tell entries about their engines, in datagrams.
+// Whatever is lost is said again soon, and nothing depends on it but how well
+// requests are placed.
+package sharing
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"fulmardeal/internal/traffic/dispatch"
+)
+
+// Kinds of datagrams.
+const (
+	kindLoads  = 'L'
+	kindNotice = 'N'
+)
+
+// mostDatagram is the size that fits into one packet of an ordinary link.
+const mostDatagram = 1400 // bytes
+
+// Notice is what an agent says of the engine beside it.
+type Notice struct {
+	Address string // of the engine
+	Weights int64  // version whose layers are all held; 0 is none
+	Loading bool   // it takes new weights and begins nothing
+}
+
+// MessageError says what is wrong with a datagram.
+type MessageError struct {
+	Reason string
+}
+
+func (e *MessageError) Error() string { return "datagram: " + e.Reason }
+
+// encodeLoads returns what an entry has at the endpoints, in as many datagrams
+// as it takes. Each begins with the number of the round and its place in it.
+func encodeLoads(entry string, round uint64, loads []dispatch.Load) [][]byte {
+	most := (mostDatagram - 64 - len(entry)) / (8 + 2*binary.MaxVarintLen32)
+	parts := max(1, (len(loads)+most-1)/most)
+	var out [][]byte
+	for i := range parts {
+		b := []byte{kindLoads}
+		b = appendText(b, entry)
+		b = binary.AppendUvarint(b, round)
+		b = binary.AppendUvarint(b, uint64(i))
+		b = binary.AppendUvarint(b, uint64(parts))
+		part := loads[min(len(loads), i*most):min(len(loads), (i+1)*most)]
+		b = binary.AppendUvarint(b, uint64(len(part)))
+		for _, l := range part {
+			b = binary.BigEndian.AppendUint64(b, l.Endpoint)
+			b = binary.AppendUvarint(b, uint64(l.Running))
+			b = binary.AppendUvarint(b, uint64(l.Unread))
+		}
+		out = append(out, b)
+	}
+	return out
+}
+
+func encodeNotice(n Notice) []byte {
+	b := appendText([]byte{kindNotice}, n.Address)
+	b = binary.AppendUvarint(b, uint64(n.Weights))
+	if n.Loading {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
+
+func appendText(b []byte, s string) []byte {
+	b = binary.AppendUvarint(b, uint64(len(s)))
+	return append(b, s...)
+}
+
+// reader takes a datagram apart and keeps the first fault.
+type reader struct {
+	data []byte
+	err  error
+}
+
+func (r *reader) fail(reason string) {
+	if r.err == nil {
+		r.err = &MessageError{Reason: reason}
+	}
+	r.data = nil
+}
+
+func (r *reader) number() uint64 {
+	v, n := binary.Uvarint(r.data)
+	if n <= 0 {
+		r.fail("it ends within a number")
+		return 0
+	}
+	r.data = r.data[n:]
+	return v
+}
+
+func (r *reader) text() string {
+	n := r.number()
+	if n > uint64(len(r.data)) {
+		r.fail("it ends within a text")
+		return ""
+	}
+	s := string(r.data[:n])
+	r.data = r.data[n:]
+	return s
+}
+
+func (r *reader) hash() uint64 {
+	if len(r.data) < 8 {
+		r.fail("it ends within a hash")
+		return 0
+	}
+	v := binary.BigEndian.Uint64(r.data)
+	r.data = r.data[8:]
+	return v
+}
+
+// loadsPart is one datagram of an entry's loads.
+type loadsPart struct {
+	entry string
+	round uint64
+	part  uint64
+	parts uint64
+	loads []dispatch.Load
+}
+
+// mostCount bounds requests and tokens in a message; more is a fault.
+const mostCount = 1 << 30
+
+func decodeLoads(data []byte) (loadsPart, error) {
+	r := reader{data: data}
+	p := loadsPart{entry: r.text(), round: r.number(), part: r.number(), parts: r.number()}
+	n := r.number()
+	if n > mostDatagram || p.parts > mostDatagram || p.part >= p.parts && r.err == nil {
+		r.fail(fmt.Sprintf("part %d of %d with %d loads", p.part, p.parts, n))
+	}
+	for range n {
+		if r.err != nil {
+			break
+		}
+		l := dispatch.Load{Endpoint: r.hash()}
+		running, unread := r.number(), r.number()
+		if running > mostCount || unread > mostCount {
+			r.fail("a load is out of bounds")
+		}
+		l.Running, l.Unread = int(running), int(unread)
+		p.loads = append(p.loads, l)
+	}
+	return p, r.err
+}
+
+func decodeNotice(data []byte) (Notice, error) {
+	r := reader{data: data}
+	n := Notice{Address: r.text(), Weights: int64(r.number())}
+	n.Loading = r.number() == 1
+	return n, r.err
+}
--- a/internal/weights/chunk/bitmap.go
+++ b/internal/weights/chunk/bitmap.go
@@ -18,6 +18,13 @@
 	}
 }
 
+// Unset marks chunk i as not held.
+func (b Bitmap) Unset(i int) {
+	if i/8 < len(b) {
+		b[i/8] &^= 1 << (i % 8)
+	}
+}
+
 // Count returns the number of chunks held.
 func (b Bitmap) Count() int {
 	n := 0
--- a/internal/weights/chunk/exchange.go
+++ b/internal/weights/chunk/exchange.go
@@ -23,9 +23,8 @@
 	askEvery     = 100 * time.Millisecond
 	meetEvery    = 500 * time.Millisecond
 	askTimeout   = 2 * time.Second
-	fetchTimeout = 30 * time.Second
+	fetchTimeout = 30 * time.Second // for a peer's request to this store
 	tickEvery    = 20 * time.Millisecond
-	originWait   = 500 * time.Millisecond // after the origin refused or failed
 )
 
 // Want asks a peer for a chunk, or with a negative index only for its bitmap.
@@ -53,6 +52,7 @@
 type Exchange struct {
 	origin fulmardeal.Origin
 	store  Store
+	pace   Pace
 	pool   *connection.Pool
 	log    *slog.Logger
 
@@ -66,9 +66,12 @@
 // NewExchange returns an exchange. The pool must be its own: chunks are large,
 // and would delay what else goes over a connection.
 func NewExchange(o fulmardeal.Origin, s Store, p *connection.Pool, log *slog.Logger) *Exchange {
-	return &Exchange{origin: o, store: s, pool: p, log: log}
+	return &Exchange{origin: o, store: s, pool: p, pace: Steady, log: log}
 }
 
+// SetPace sets the times of the exchange; it is called before any other method.
+func (x *Exchange) SetPace(p Pace) { x.pace = p }
+
 // mostSwarms is how many versions are served to peers at once.
 const mostSwarms = 4
 
@@ -150,6 +153,8 @@
 	data, err := x.store.Chunk(ctx, w.Version, w.Index)
 	if err != nil || s.Manifest().Verify(w.Index, data) != nil {
 		x.log.Warn("stored chunk unreadable", "version", w.Version.String(), "chunk", w.Index, "err", err)
+		s.Lost(w.Index)
+		reply.Has = s.Have()
 		return nil
 	}
 	reply.Data = data
@@ -172,6 +177,21 @@
 	x.uploads--
 }
 
+// Recheck verifies the stored chunks once more and reports whether all are as
+// they should be. What the store has spoilt is to be fetched again.
+func (x *Exchange) Recheck(ctx context.Context, s *Swarm) bool {
+	v := s.Manifest().Version()
+	sound := true
+	for i := range s.Manifest().Chunks() {
+		data, err := x.store.Chunk(ctx, v, i)
+		if err != nil || s.Manifest().Verify(i, data) != nil {
+			s.Lost(i)
+			sound = false
+		}
+	}
+	return sound
+}
+
 // Spread fetches until the swarm is whole or the context ends. Peers returns
 // the other agents of the swarm.
 func (x *Exchange) Spread(ctx context.Context, s *Swarm, peers func() []Peer) error {
@@ -231,7 +251,7 @@
 
 // fetch gets one chunk, checks it and stores it.
 func (x *Exchange) fetch(ctx context.Context, s *Swarm, f Fetch) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, x.pace.FetchTimeout)
 	defer cancel()
 	parcel, err := x.get(ctx, s, f)
 	now := time.Now()
@@ -271,7 +291,7 @@
 	case errors.As(err, &busy):
 		x.rest(busy.After)
 	case err != nil:
-		x.rest(originWait)
+		x.rest(x.pace.OriginWait)
 	}
 	parcel.Data = data
 	return parcel, err
--- a/internal/weights/chunk/plan.go
+++ b/internal/weights/chunk/plan.go
@@ -109,7 +109,7 @@
 			n++
 		}
 	}
-	if s.resting || n >= mostImports || !first && s.held(index) {
+	if s.resting || n >= s.pace.Imports || !first && s.held(index) {
 		return Fetch{}, false
 	}
 	return Fetch{Index: index}, true
@@ -164,18 +164,18 @@
 			return false
 		}
 	}
-	return now.Sub(s.gained) > desperate
+	return now.Sub(s.gained) > s.pace.Desperate
 }
 
 // stalled reports whether a peer is known to have had no new chunk for a while.
 // Of a peer that was not asked lately nothing is known: it is to be asked.
 func (s *Swarm) stalled(now time.Time, p *peer) bool {
-	if now.Sub(p.gained) <= stalled || now.Sub(s.began) <= stalled {
+	if now.Sub(p.gained) <= s.pace.Stalled || now.Sub(s.began) <= s.pace.Stalled {
 		return false
 	}
-	if now.Sub(p.learned) > freshFor {
+	if now.Sub(p.learned) > s.pace.FreshFor {
 		p.wanted = true
-		return now.Sub(p.asked) > stalled && p.asked.After(p.learned) // asked, and silent since
+		return now.Sub(p.asked) > s.pace.Stalled && p.asked.After(p.learned) // asked, and silent since
 	}
 	return true
 }
@@ -184,7 +184,7 @@
 // no new chunk for a while, as far as is known, so that it must come from
 // elsewhere.
 func (s *Swarm) late(now time.Time, before []string) bool {
-	if now.Sub(s.gained) <= stalled {
+	if now.Sub(s.gained) <= s.pace.Stalled {
 		return false
 	}
 	for _, p := range s.peers {
--- a/internal/weights/chunk/swarm.go
+++ b/internal/weights/chunk/swarm.go
@@ -12,7 +12,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -25,7 +24,6 @@
 // Bounds of a swarm's work.
 const (
 	mostFetches = 8 // chunks under way to this agent
-	mostImports = 4 // of those, from the origin
 	mostPeer    = 2 // of those, from one peer
 
 	// A peer asks the same few neighbours most often, so that its cost doesn't
@@ -37,23 +35,11 @@
 	mostSources    = 8
 
 	// A peer asks each neighbour as often as its number of neighbours allows.
-	askEach  = 15 * time.Millisecond
-	askLeast = 100 * time.Millisecond
+	askEach = 15 * time.Millisecond
 
 	// candidates is how many agents of a region may come to import a chunk.
 	candidates = 3
 
-	// stalled is the time without any new chunk after which a candidate is
-	// passed over by the next one.
-	stalled = 5 * time.Second
-
-	// freshFor is how long a bitmap tells whether its peer has stalled.
-	freshFor = 2 * time.Second
-
-	// desperate is the time without any new chunk after which an agent no
-	// longer leaves imports to their candidates.
-	desperate = 20 * time.Second
-
 	// A peer that was slow or wrong is set aside, for longer each time.
 	asideFirst = time.Second
 	asideMost  = 30 * time.Second
@@ -113,6 +99,7 @@
 type Swarm struct {
 	mu       sync.Mutex
 	book     *invariant.Book
+	pace     Pace
 	manifest *manifest.Manifest
 	self     Peer
 	home     string // the origin's region, empty when unknown
@@ -144,6 +131,7 @@
 func NewSwarm(m *manifest.Manifest, self Peer, home string, now time.Time, seed uint64, book *invariant.Book) *Swarm {
 	return &Swarm{
 		book:     book,
+		pace:     Steady,
 		manifest: m,
 		self:     self,
 		home:     home,
@@ -156,6 +144,9 @@
 	}
 }
 
+// SetPace sets the times of the swarm; it is called before any other method.
+func (s *Swarm) SetPace(p Pace) { s.pace = p }
+
 // changed returns a channel that has a token when a fetch has ended.
 func (s *Swarm) changed() <-chan struct{} { return s.wake }
 
@@ -342,6 +333,13 @@
 	s.has.Set(index)
 }
 
+// Lost unmarks a chunk that the store no longer holds as it was.
+func (s *Swarm) Lost(index int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.has.Unset(index)
+}
+
 // Got ends a fetch whose chunk has been verified and stored.
 func (s *Swarm) Got(now time.Time, f Fetch, has Bitmap) {
 	s.mu.Lock()
@@ -430,21 +428,3 @@
 	defer s.mu.Unlock()
 	return Progress{Held: s.has.Count(), Chunks: s.manifest.Chunks(), Under: len(s.under), Peers: len(s.peers)}
 }
-
-// Debug x.
-func (s *Swarm) Debug() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	known := 0
-	for i := range s.manifest.Chunks() {
-		if !s.has.Has(i) {
-			for _, p := range s.peers {
-				if p.Region == s.self.Region && p.has.Has(i) {
-					known++
-					break
-				}
-			}
-		}
-	}
-	return fmt.Sprintf("window %.1f fetchable %d", s.window, known)
-}
--- a/internal/weights/manifest/manifest.go
+++ b/internal/weights/manifest/manifest.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 
 	"fulmardeal"
 	"fulmardeal/internal/fleet/label"
@@ -63,6 +64,17 @@
 	return &Manifest{doc: d}, nil
 }
 
+// Encode returns the encoded manifest of chunks of equal size, for an origin
+// that names no digest of the whole.
+func Encode(v fulmardeal.Version, chunk int, digests []string) ([]byte, error) {
+	d := Document{Model: v.Model, Version: v.Name, Size: int64(chunk) * int64(len(digests)), Chunk: chunk, Chunks: digests}
+	d.Digest = Sum([]byte(strings.Join(digests, "")))
+	if reason := d.fault(v); reason != "" {
+		return nil, &Error{Version: v, Reason: reason}
+	}
+	return json.Marshal(d)
+}
+
 // fault returns the first thing that is wrong.
 func (d *Document) fault(v fulmardeal.Version) string {
 	switch {
--- a/internal/weights/replica/replica.go
+++ b/internal/weights/replica/replica.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"fulmardeal"
 	"fulmardeal/internal/fleet/configuration"
@@ -138,3 +139,22 @@
 	}
 	return configuration.Model{}, nil, false
 }
+
+// Parts of the time for a change of version in which engines change over. Before
+// the first, the chunks spread; after the last, an order may have to be repeated.
+const (
+	firstTurn = 0.3
+	lastTurn  = 0.75
+)
+
+// Stagger returns how long after a version was named an engine changes over to
+// it, when all must have done so within a time: engines stop one after the
+// other, in an order that everybody works out alike.
+func Stagger(v fulmardeal.Version, name string, names []string, within time.Duration) time.Duration {
+	rank := membership.Rank("turn/"+v.String(), name, names)
+	part := firstTurn
+	if rank > 0 && len(names) > 1 {
+		part += (lastTurn - firstTurn) * float64(rank) / float64(len(names)-1)
+	}
+	return time.Duration(part * float64(within))
+}
