weights/chunk, process/loader: weights leave room for events; change-over in turns

Cause: while a version spread, a quarter to a half of the streams were late though first events and pauses were in time (log: first p90 276 ms, pause p90 263 ms): events waited behind chunks in the instance's link. And two versions named in a row were each fetched from nothing, or all engines changed at once.

Now an upload holds its turn until its link has carried it; peers wait in a short queue; an older version that is being fetched goes on beside a newer one; engines change over one after the other, from the naming that first superseded what they hold. Entries add an endpoint's lag to its prediction.

--- a/internal/fleet/catalogue/table.go
+++ b/internal/fleet/catalogue/table.go
@@ -18,8 +18,7 @@
 // Wanted is a named version of a model's weights.
 type Wanted struct {
 	Version int64
-	Since   time.Time // when this process learned of it
-	First   bool      // it stood there when this process began to read
+	Since   time.Time // when this process learned of it, which is late if it has just started
 }
 
 // View is the state at one moment. It does not change.
@@ -28,7 +27,7 @@
 	hosts     map[string][]*fulmardeal.Route // longest prefix first
 	keys      map[string]*fulmardeal.Customer
 	out       []string
-	wanted    map[string]Wanted
+	wanted    map[string][]Wanted // by model, in the order in which they were named
 }
 
 // Table is the newest state. The zero value is empty and ready to use; it is
@@ -66,18 +65,17 @@
 	old := t.View()
 	next := *old
 	next.out = slices.Clone(old.out)
-	next.wanted = make(map[string]Wanted, len(old.wanted))
+	next.wanted = make(map[string][]Wanted, len(old.wanted))
 	for k, w := range old.wanted {
 		next.wanted[k] = w
 	}
 	var events []Event
-	first := old.catalogue == nil
 	for _, c := range b.Changes {
 		if known, seen := t.offsets[c.Key]; seen && c.Offset <= known {
 			continue
 		}
 		t.offsets[c.Key] = c.Offset
-		events = append(events, next.take(now, c, first)...)
+		events = append(events, next.take(now, c)...)
 	}
 	if b.Whole {
 		events = append(events, next.miss(b.Changes)...)
@@ -87,7 +85,7 @@
 }
 
 // take takes over one change.
-func (v *View) take(now time.Time, c fulmardeal.Change, first bool) []Event {
+func (v *View) take(now time.Time, c fulmardeal.Change) []Event {
 	switch {
 	case c.Catalogue != nil:
 		if v.catalogue != nil && c.Catalogue.Version <= v.catalogue.Version {
@@ -96,10 +94,12 @@
 		v.index(c.Catalogue)
 		return []Event{{What: "configuration", Version: c.Catalogue.Version}}
 	case c.Naming != nil:
-		if c.Naming.Version <= v.wanted[c.Naming.Model].Version {
+		if c.Naming.Version <= v.Wanted(c.Naming.Model).Version {
 			return nil
 		}
-		v.wanted[c.Naming.Model] = Wanted{Version: c.Naming.Version, Since: now, First: first}
+		list := v.wanted[c.Naming.Model]
+		list = list[max(0, len(list)-mostNamings):]
+		v.wanted[c.Naming.Model] = append(slices.Clone(list), Wanted{Version: c.Naming.Version, Since: now})
 		return []Event{{What: "version", Name: c.Naming.Model, Version: c.Naming.Version}}
 	case c.Evacuation != "":
 		if slices.Contains(v.out, c.Evacuation) {
@@ -188,10 +188,24 @@
 // Out reports whether a data centre is to get nothing.
 func (v *View) Out(place string) bool { return slices.Contains(v.out, place) }
 
+// mostNamings bounds the namings of one model that are remembered.
+const mostNamings = 16
+
 // Wanted returns the named version of a model; without one it is the first.
 func (v *View) Wanted(model string) Wanted {
-	if w, named := v.wanted[model]; named {
-		return w
+	if list := v.wanted[model]; len(list) > 0 {
+		return list[len(list)-1]
+	}
+	return Wanted{Version: 1}
+}
+
+// Superseded returns when a version newer than the given one was first named,
+// and whether there is one.
+func (v *View) Superseded(model string, version int64) (time.Time, bool) {
+	for _, w := range v.wanted[model] {
+		if w.Version > version {
+			return w.Since, true
+		}
 	}
-	return Wanted{Version: 1, First: true}
+	return time.Time{}, false
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -36,7 +36,7 @@
 
 	// rosterEvery is how often the registrations are read. An endpoint's notice
 	// of leaving has to be known 2 s after it was written.
-	rosterEvery = 400 * time.Millisecond
+	rosterEvery = 700 * time.Millisecond
 
 	tickEvery = 20 * time.Millisecond // room that comes with time alone
 
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -21,8 +21,11 @@
 type relay struct {
 	begun   bool // its head has been sent
 	events  int
-	lastID  string // of the last event that was handed on
-	weights int64  // version that began the answer; another one must not go on with it
+	lastID  string        // of the last event that was handed on
+	first   time.Duration // from the request to the first event
+	last    time.Time     // when the last event was handed on
+	longest time.Duration // longest pause between two
+	weights int64         // version that began the answer; another one must not go on with it
 }
 
 // resumeAfter returns the event after which the stream is to go on.
@@ -67,6 +70,8 @@
 			}
 			x.Release(r.Keep)
 			g.stats.served(j.service, time.Since(j.begun))
+			j.log.Info("served", "endpoint", p.Endpoint().ID(), "first", j.relay.first, "pause", j.relay.longest, "events", j.relay.events,
+				"expected", p.Expected(), "prompt", j.facts.Prompt, "sends", j.sends+1, "weights", r.Weights)
 			return answered, dispatch.FateServed
 		case err != nil:
 			return j.unanswered(ctx, p, err)
@@ -95,7 +100,8 @@
 		}
 		noSniff(h)
 		j.relay.begun, j.relay.weights = true, r.Weights
-		j.gateway.stats.first(j.service, time.Since(j.begun))
+		j.relay.first = time.Since(j.begun)
+		j.gateway.stats.first(j.service, j.relay.first)
 		j.writer.WriteHeader(x.Status())
 	}
 	out := events[:0:0]
@@ -113,6 +119,11 @@
 		j.relay.events++
 		out = append(out, event...)
 	}
+	now := time.Now()
+	if !j.relay.last.IsZero() {
+		j.relay.longest = max(j.relay.longest, now.Sub(j.relay.last))
+	}
+	j.relay.last = now
 	if _, err := j.writer.Write(out); err != nil {
 		return false
 	}
--- a/internal/process/loader/loader.go
+++ b/internal/process/loader/loader.go
@@ -25,7 +25,7 @@
 
 // Times and bounds of an agent.
 const (
-	operatorWait = 3 * time.Second // a version that is named is told at once; this only bounds a call
+	operatorWait = 8 * time.Second // a version that is named is told at once; this only bounds a call
 	lookEvery    = 250 * time.Millisecond
 	lookSoon     = 50 * time.Millisecond // while the engine loads
 	memoryPart   = 0.7                   // of the memory limit, for the heap
@@ -72,7 +72,9 @@
 	pool      *connection.Pool
 	origin    *origin
 	exchange  *chunk.Exchange
+	shelf     *shelf
 	work      work
+	wake      chan struct{} // has a token when a fetch has ended
 
 	mu       sync.Mutex
 	peers    []chunk.Peer
@@ -83,7 +85,7 @@
 
 // New opens the agent's listener. The returned function releases what it holds.
 func New(o Options) (*Loader, func(), error) {
-	l := &Loader{options: o, log: o.Log}
+	l := &Loader{options: o, log: o.Log, shelf: &shelf{engine: o.Engine}, wake: make(chan struct{}, 1)}
 	address := net.JoinHostPort(o.Site.Host, strconv.Itoa(o.Site.Ports[0]))
 	server, closeServer, err := connection.Listen(connection.TCP{}, address)
 	if err != nil {
@@ -92,8 +94,8 @@
 	pool, closePool := connection.NewPool(connection.TCP{}, mostClients)
 	l.server, l.pool = server, pool
 	l.origin = &origin{open: o.Origin}
-	l.exchange = chunk.NewExchange(l.origin, o.Engine, pool, o.Log)
-	l.exchange.SetPace(chunk.Burst)
+	l.exchange = chunk.NewExchange(l.origin, l.shelf, pool, o.Log)
+	l.exchange.SetPace(chunk.Serving(o.Site.LinkRate, true))
 	cleanup := func() {
 		l.origin.close()
 		closePool()
@@ -202,6 +204,11 @@
 	}
 }
 
+// self describes this agent.
+func (l *Loader) self() chunk.Peer {
+	return l.peer(l.options.Site.Endpoint, l.options.Site.DataCentre)
+}
+
 // tell says to the entries what the engine serves. It is said twice, since
 // datagrams get lost; the registration says the same a little later.
 func (l *Loader) tell(ctx context.Context, weights int64, loading bool) {
--- a/internal/process/loader/work.go
+++ b/internal/process/loader/work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -13,46 +14,73 @@
 	"fulmardeal/internal/weights/replica"
 )
 
-// work is the version that is being brought to the engine. Only look uses it,
-// but for the swarm itself.
-type work struct {
+// Times of bringing weights.
+const (
+	// orderPatience is how long an order may go without effect before it is
+	// given again: the work in progress ends first, some seconds for the longest.
+	orderPatience = 10 * time.Second
+
+	// fetchPause is the wait after a fetch that failed, such as at a start while
+	// the origin is not there yet.
+	fetchPause = 250 * time.Millisecond
+
+	// noticeLead is how long before an engine stops taking requests the entries
+	// are told, so that those on their way still arrive in time.
+	noticeLead = 10 * time.Millisecond
+)
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// job is one version that is being fetched, or has been.
+type job struct {
 	version fulmardeal.Version
-	swarm   *chunk.Swarm
+	number  int64
 	stop    context.CancelFunc
-	done    chan error
-	whole   bool
-	told    int64 // version that the entries were last told of
-	telling bool  // whether they were told that the engine loads
-	ordered time.Time
-	pause   time.Time // a fetch that failed is begun again then
+	done    chan result
+	swarm   *chunk.Swarm // set when the fetch has ended well
+	again   time.Time    // a fetch that failed is begun again then; zero while it runs
 }
 
-// fetchPause is the wait after a fetch that failed, such as at a start while the
-// origin is not there yet.
-const fetchPause = 250 * time.Millisecond
+// result is how a fetch ended.
+type result struct {
+	swarm *chunk.Swarm
+	err   error
+}
 
-// orderPatience is how long an order may go without effect before it is given
-// again: the work in progress ends first, some seconds for the longest.
-const orderPatience = 10 * time.Second
+// work is what the agent is about. Only the goroutine of look uses it.
+type work struct {
+	jobs    []*job // the newest last
+	told    int64  // version that the entries were last told of
+	telling bool   // whether they were told that the engine loads
+	ordered time.Time
+	started int64 // version of the last order
+}
 
 // look compares what the engine holds with what is wanted, again and again.
 func (l *Loader) look(ctx context.Context) {
-	defer l.drop()
 	for ctx.Err() == nil {
-		soon := l.step(ctx)
 		pause := lookEvery
-		if soon {
+		if l.step(ctx) {
 			pause = lookSoon
 		}
 		t := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
 		case <-t.C:
-		case err := <-l.work.done:
-			l.fetched(err)
+		case <-l.wake:
 		}
 		t.Stop()
 	}
+	for _, j := range l.work.jobs {
+		j.stop()
+	}
 }
 
 // step does what is due now, and reports whether something is about to happen.
@@ -67,21 +95,17 @@
 		return false
 	}
 	wanted := l.catalogue.View().Wanted(model)
-	v := fulmardeal.Version{Model: model, Name: strconv.FormatInt(wanted.Version, 10)}
 	held := fulmardeal.Holds(state.Spans, spec.Layers)
 	l.announce(ctx, held, state.Loading)
+	l.collect()
+	l.want(ctx, model, wanted.Version, held)
 	if held == wanted.Version {
-		l.serve(ctx, v)
 		return false
 	}
-	if l.work.version != v {
-		l.begin(ctx, v)
-	}
-	if !l.work.whole {
+	if slices.ContainsFunc(l.work.jobs, func(j *job) bool { return j.swarm == nil }) {
 		l.refreshPeers(ctx)
-		return false
 	}
-	return l.activate(ctx, v, wanted.Since, held, state)
+	return l.activate(ctx, model, held, state)
 }
 
 // announce tells the entries when what the engine serves has changed.
@@ -94,76 +118,96 @@
 	}
 }
 
-// serve lets other agents fetch what is staged here. An engine that was there
-// from the beginning holds the first version, which nobody needs unless engines
-// are added; so the manifest is fetched only when a peer asks.
-func (l *Loader) serve(ctx context.Context, v fulmardeal.Version) {
-	if l.work.version == v {
-		return
+// collect takes over the fetches that have ended.
+func (l *Loader) collect() {
+	now := time.Now()
+	for _, j := range l.work.jobs {
+		select {
+		case r := <-j.done:
+			if r.err != nil {
+				l.log.Warn("weights not fetched", "version", j.version.String(), "err", r.err)
+				j.again = now.Add(fetchPause)
+				continue
+			}
+			j.swarm = r.swarm
+		default:
+		}
 	}
-	l.begin(ctx, v)
 }
 
-// begin gives up the version that was being fetched and begins another.
-func (l *Loader) begin(ctx context.Context, v fulmardeal.Version) {
-	if time.Now().Before(l.work.pause) {
-		return
+// want sees to it that the wanted version is fetched, or can be served to other
+// agents where it is held already. An older one that is still being fetched goes
+// on: should the newer one be late, it is better than none.
+func (l *Loader) want(ctx context.Context, model string, version, held int64) {
+	w := &l.work
+	w.jobs = slices.DeleteFunc(w.jobs, func(j *job) bool {
+		old := j.number != version && (j.version.Model != model || j.number <= held || held == version)
+		if old {
+			j.stop()
+			l.shelf.drop(j.version)
+		}
+		return old
+	})
+	i := slices.IndexFunc(w.jobs, func(j *job) bool { return j.number == version })
+	if i < 0 {
+		v := fulmardeal.Version{Model: model, Name: strconv.FormatInt(version, 10)}
+		l.shelf.open(v, len(w.jobs) > 0)
+		w.jobs = append(w.jobs, &job{version: v, number: version, stop: func() {}, again: time.Now()})
 	}
-	l.drop()
-	ctx, cancel := context.WithCancel(ctx)
-	done := make(chan error, 1)
-	l.work = work{version: v, stop: cancel, done: done, told: l.work.told, telling: l.work.telling}
-	l.log.Info("version wanted", "version", v.String())
-	go func() { done <- l.fetch(ctx, v) }()
-}
-
-func (l *Loader) drop() {
-	if l.work.stop != nil {
-		l.work.stop()
-		l.work.stop = nil
+	for _, j := range w.jobs {
+		if !j.again.IsZero() && !time.Now().Before(j.again) {
+			l.begin(ctx, j, held != 0)
+		}
 	}
 }
 
-func (l *Loader) fetched(err error) {
-	l.work.done = nil
-	if err != nil {
-		l.log.Warn("weights not fetched", "version", l.work.version.String(), "err", err)
-		l.work.version = fulmardeal.Version{} // a later look begins again
-		l.work.pause = time.Now().Add(fetchPause)
-		return
-	}
-	l.work.whole = true
+// begin begins a fetch.
+func (l *Loader) begin(ctx context.Context, j *job, serves bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	j.stop, j.done, j.again, j.swarm = cancel, make(chan result, 1), time.Time{}, nil
+	l.log.Info("version wanted", "version", j.version.String())
+	go func() {
+		s, err := l.fetch(ctx, j.version, serves)
+		j.done <- result{swarm: s, err: err}
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}()
 }
 
-// fetch brings a version's chunks into the engine's staging.
-func (l *Loader) fetch(ctx context.Context, v fulmardeal.Version) error {
+// fetch brings a version's chunks to the shelf of an engine that serves
+// requests meanwhile, or doesn't.
+func (l *Loader) fetch(ctx context.Context, v fulmardeal.Version, serves bool) (*chunk.Swarm, error) {
 	begun := time.Now()
 	l.refreshPeers(ctx)
 	data, err := l.manifest(ctx, v)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	m, err := manifest.Parse(v, manifest.Sum(data), data)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	l.exchange.KeepManifest(v, data)
-	s := chunk.NewSwarm(m, l.peer(l.options.Site.Endpoint, l.options.Site.DataCentre), l.home(), time.Now(), l.options.Seed, &invariant.Book{})
-	s.SetPace(chunk.Burst)
+	s := chunk.NewSwarm(m, l.self(), l.home(), time.Now(), l.options.Seed, &invariant.Book{})
+	s.SetPace(chunk.Serving(l.options.Site.LinkRate, serves))
 	l.exchange.Add(ctx, s)
 	err = l.exchange.Spread(ctx, s, l.Peers)
 	l.log.Info("weights spread", "version", v.String(), "took", time.Since(begun), "drawn", s.Drawn(), "corrupt", s.Corrupt(), "err", err)
-	if err == nil {
-		l.mu.Lock()
-		l.work.swarm = s
-		l.mu.Unlock()
-	}
-	return err
+	return s, err
 }
 
-// manifest asks a peer first and then the origin.
+// manifest asks the origin, or a peer when the origin can't be reached.
 func (l *Loader) manifest(ctx context.Context, v fulmardeal.Version) ([]byte, error) {
-	return l.origin.Manifest(ctx, v)
+	data, err := l.origin.Manifest(ctx, v)
+	if err == nil || ctx.Err() != nil {
+		return data, err
+	}
+	if data := l.exchange.AskManifest(ctx, v, l.Peers()); len(data) > 0 {
+		return data, nil
+	}
+	return nil, err
 }
 
 // home returns the origin's region.
@@ -175,48 +219,63 @@
 	return l.options.Site.Regions[c.Origin().DataCentre]
 }
 
-// activate orders the engine to load what is staged, when it is this engine's
-// turn.
-func (l *Loader) activate(ctx context.Context, v fulmardeal.Version, since time.Time, held int64, state fulmardeal.EngineState) bool {
+// activate orders the engine to load the newest version that is here whole,
+// when it is this engine's turn. An engine that holds nothing takes its turn at
+// once.
+func (l *Loader) activate(ctx context.Context, model string, held int64, state fulmardeal.EngineState) bool {
 	w := &l.work
-	if state.Loading || time.Since(w.ordered) < orderPatience && !w.ordered.IsZero() {
-		return true
+	var best *job
+	for _, j := range w.jobs {
+		if j.swarm != nil && j.number > held {
+			best = j
+		}
+	}
+	if best == nil {
+		return false
 	}
-	if held != 0 && time.Now().Before(l.turn(v, since)) {
+	if state.Loading || w.started == best.number && time.Since(w.ordered) < orderPatience {
 		return true
 	}
-	l.mu.Lock()
-	s := w.swarm
-	l.mu.Unlock()
-	if !l.exchange.Recheck(ctx, s) {
-		l.log.Warn("staged chunks spoilt", "version", v.String())
-		w.version = fulmardeal.Version{}
-		return false
+	if held != 0 && time.Now().Before(l.turn(model, held)) {
+		return true
 	}
 	l.tell(ctx, held, true)
 	w.telling = true
-	err := l.options.Engine.Start(ctx, v, state.Sequence)
+	pause(ctx, noticeLead)
+	if err := l.shelf.stage(ctx, best.version); err != nil {
+		l.log.Warn("chunks not staged", "version", best.version.String(), "err", err)
+		return true
+	}
+	if !l.exchange.Recheck(ctx, best.swarm) {
+		l.log.Warn("staged chunks spoilt", "version", best.version.String())
+		best.swarm, best.again = nil, time.Now()
+		return false
+	}
+	err := l.options.Engine.Start(ctx, best.version, state.Sequence)
 	var refused *fulmardeal.RefusedOrderError
 	switch {
 	case errors.As(err, &refused):
-		l.log.Warn("order refused", "version", v.String(), "reason", refused.Reason)
+		l.log.Warn("order refused", "version", best.version.String(), "reason", refused.Reason)
 		return false
 	case err != nil:
-		l.log.Warn("order unanswered", "version", v.String(), "err", err)
+		l.log.Warn("order unanswered", "version", best.version.String(), "err", err)
 		return true
 	}
-	w.ordered = time.Now()
-	l.log.Info("engine ordered", "version", v.String(), "held", held, "running", state.Running)
+	w.ordered, w.started = time.Now(), best.number
+	l.log.Info("engine ordered", "version", best.version.String(), "held", held, "running", state.Running, "waiting", state.Waiting)
 	return true
 }
 
-// turn returns when this engine is to change over, so that not all engines stop
-// taking requests at once.
-func (l *Loader) turn(v fulmardeal.Version, since time.Time) time.Time {
+// turn returns when this engine is to change over from the version that it
+// holds, so that not all engines stop taking requests at once.
+func (l *Loader) turn(model string, held int64) time.Time {
+	named, superseded := l.catalogue.View().Superseded(model, held)
+	if !superseded {
+		return time.Time{}
+	}
 	var names []string
 	for _, p := range l.Peers() {
 		names = append(names, p.Incarnation)
 	}
-	self := l.peer(l.options.Site.Endpoint, l.options.Site.DataCentre).Incarnation
-	return since.Add(replica.Stagger(v, self, names, l.options.Site.Bounds.Weights))
+	return replica.Stagger(l.self().Incarnation, names, named, l.options.Site.Bounds.Weights)
 }
--- a/internal/traffic/dispatch/endpoint.go
+++ b/internal/traffic/dispatch/endpoint.go
@@ -7,6 +7,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"fulmardeal"
@@ -14,13 +15,15 @@
 
 // Times and weights of what an entry believes of an endpoint.
 const (
-	suspectFirst = 300 * time.Millisecond // two answers of a healthy engine
-	suspectMost  = 4 * time.Second        // bounds the requests lost to an endpoint that is dark for longer
-	fullFor      = 60 * time.Millisecond  // about one pass of an engine
-	awayFor      = 500 * time.Millisecond // an endpoint's next registration is at most a beat and a poll away
-	noticeFor    = 3 * time.Second        // two beats and a poll: then the registration tells the same
-	failWeight   = 0.15                   // of one answer in the mean share of failures
-	coldWindow   = time.Second            // over which a cold endpoint's requests are counted
+	suspectFirst = 300 * time.Millisecond  // two answers of a healthy engine
+	suspectMost  = 4 * time.Second         // bounds the requests lost to an endpoint that is dark for longer
+	fullFor      = 60 * time.Millisecond   // about one pass of an engine
+	awayFor      = 500 * time.Millisecond  // an endpoint's next registration is at most a beat and a poll away
+	noticeFor    = 3 * time.Second         // two beats and a poll: then the registration tells the same
+	failWeight   = 0.15                    // of one answer in the mean share of failures
+	lagWeight    = 0.3                     // of one answer in the mean lag
+	lagHalf      = 1500 * time.Millisecond // in which a lag is half forgotten when nothing new is known
+	coldWindow   = time.Second             // over which a cold endpoint's requests are counted
 )
 
 // Endpoint is what this entry knows of one endpoint. The table's lock guards it.
@@ -36,12 +39,14 @@
 
 	weights   int64 // version whose layers are all held; 0 is none
 	noticed   time.Time
-	loading   time.Time // it is taking new weights until about then
-	suspect   time.Time // it is passed over until then
-	failures  int       // in a row
-	failing   float64   // mean share of failures
-	full      time.Time // it had no room; passed over until then
-	away      time.Time // it is not what it was; passed over until then
+	loading   time.Time     // it is taking new weights until about then
+	suspect   time.Time     // it is passed over until then
+	failures  int           // in a row
+	failing   float64       // mean share of failures
+	lag       time.Duration // mean time by which it begins to answer later than predicted
+	lagged    time.Time     // when that was last heard of
+	full      time.Time     // it had no room; passed over until then
+	away      time.Time     // it is not what it was; passed over until then
 	coldUntil time.Time
 	sent      []time.Time // in the last second, while cold
 }
@@ -147,3 +152,21 @@
 	}
 	e.sent = append(e.sent, now)
 }
+
+// begin takes over how long an answer took to begin, against the prediction. It
+// finds endpoints that are slow, and those whose way is.
+func (e *Endpoint) begin(now time.Time, took, predicted time.Duration) {
+	over := max(0, took-predicted)
+	old := e.lagNow(now)
+	e.lag = old + time.Duration(lagWeight*float64(over-old))
+	e.lagged = now
+}
+
+// lagNow returns the mean lag, which fades: else an endpoint that is passed over
+// would never be tried again.
+func (e *Endpoint) lagNow(now time.Time) time.Duration {
+	if e.lag == 0 {
+		return 0
+	}
+	return time.Duration(float64(e.lag) * math.Exp2(-float64(now.Sub(e.lagged))/float64(lagHalf)))
+}
--- a/internal/traffic/dispatch/placing.go
+++ b/internal/traffic/dispatch/placing.go
@@ -27,7 +27,7 @@
 	// versionMargin is left between the last send to an engine with older
 	// weights and the bound: the time that a request may wait in the engine
 	// before it begins.
-	versionMargin = 700 * time.Millisecond
+	versionMargin = 450 * time.Millisecond
 )
 
 // Want is what a request needs of an endpoint.
@@ -55,8 +55,7 @@
 	entries int // that are alive, this one too
 	others  func(hash uint64) others
 	out     func(place string) bool
-	older   bool // engines with older weights may still be used
-	wanted  int64
+	fresh   func(weights int64) bool // engines with these weights may still be used
 }
 
 // serves reports whether an endpoint may get the request at all, now or as
@@ -77,7 +76,7 @@
 	if e.weights == 0 || w.Exact != 0 && e.weights != w.Exact {
 		return false
 	}
-	return f.older || e.weights >= f.wanted
+	return f.fresh(e.weights)
 }
 
 // room reports whether an endpoint can begin the request at once.
@@ -108,7 +107,7 @@
 // and what the way there costs.
 func predict(f *field, e *Endpoint, w *Want) time.Duration {
 	o := f.others(e.hash)
-	cost := e.distance + time.Duration(e.failing*float64(failingCost))
+	cost := e.distance + e.lagNow(f.now) + time.Duration(e.failing*float64(failingCost))
 	s := e.engine()
 	if s == nil {
 		n := e.running + o.running
--- a/internal/traffic/dispatch/table.go
+++ b/internal/traffic/dispatch/table.go
@@ -183,7 +183,7 @@
 		now:     now,
 		entries: 1 + len(t.peers),
 		out:     t.view.Out,
-		older:   true,
+		fresh:   func(int64) bool { return true },
 		others: func(hash uint64) others {
 			var sum others
 			for _, p := range t.peers {
@@ -200,9 +200,11 @@
 	if len(g.endpoints) == 0 || g.endpoints[0].engine() == nil || len(g.endpoints[0].engine().Models) == 0 {
 		return f
 	}
-	w := t.view.Wanted(g.endpoints[0].engine().Models[0].Name)
-	f.wanted = w.Version
-	f.older = w.First || now.Sub(w.Since) < t.options.Bounds.Weights-versionMargin
+	model := g.endpoints[0].engine().Models[0].Name
+	f.fresh = func(weights int64) bool {
+		since, superseded := t.view.Superseded(model, weights)
+		return !superseded || now.Sub(since) < t.options.Bounds.Weights-versionMargin
+	}
 	return f
 }
 
@@ -213,6 +215,8 @@
 	endpoint *Endpoint
 	prompt   int
 	weights  int64
+	sent     time.Time
+	expected time.Duration // to the first event, by the prediction
 	begun    bool
 	ended    bool
 }
@@ -223,6 +227,9 @@
 // Weights returns the version that the endpoint was believed to hold.
 func (p *Place) Weights() int64 { return p.weights }
 
+// Expected returns the predicted time to the first event.
+func (p *Place) Expected() time.Duration { return p.expected }
+
 // RefusedError is a request that can't be placed.
 type RefusedError struct {
 	Reason Refusal
@@ -278,8 +285,9 @@
 	f := t.field(now, g)
 	e, known := place(f, g.endpoints, w, t.random)
 	if e != nil {
+		expected := predict(f, e, w) - e.lagNow(now)
 		t.begin(now, e, w)
-		return &Place{table: t, group: g, endpoint: e, prompt: w.Prompt, weights: e.weights}, nil, ""
+		return &Place{table: t, group: g, endpoint: e, prompt: w.Prompt, weights: e.weights, sent: now, expected: expected}, nil, ""
 	}
 	if !known {
 		return nil, nil, RefusedNone
@@ -312,7 +320,12 @@
 func (t *Table) placed(w *Want, e *Endpoint) *Place {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return &Place{table: t, group: t.services[w.Service], endpoint: e, prompt: w.Prompt, weights: e.weights}
+	now := time.Now()
+	p := &Place{table: t, group: t.services[w.Service], endpoint: e, prompt: w.Prompt, weights: e.weights, sent: now}
+	if p.group != nil {
+		p.expected = predict(t.field(now, p.group), e, w) - e.lagNow(now)
+	}
+	return p
 }
 
 func (t *Table) refuse(w *Want, r Refusal, waited time.Duration) *RefusedError {
@@ -357,6 +370,10 @@
 func (p *Place) First() {
 	p.table.mu.Lock()
 	defer p.table.mu.Unlock()
+	if !p.begun {
+		now := time.Now()
+		p.endpoint.begin(now, now.Sub(p.sent), p.expected)
+	}
 	p.first()
 }
 
--- a/internal/weights/chunk/exchange.go
+++ b/internal/weights/chunk/exchange.go
@@ -19,7 +19,6 @@
 
 // Bounds and times of the exchange.
 const (
-	mostUploads  = 12
 	askEvery     = 100 * time.Millisecond
 	meetEvery    = 500 * time.Millisecond
 	askTimeout   = 2 * time.Second
@@ -60,7 +59,8 @@
 	swarms    []*Swarm // the latest last
 	manifests []kept
 	uploads   int
-	resting   time.Time // the origin is left alone until then
+	turns     []chan struct{} // of peers that wait to be served
+	resting   time.Time       // the origin is left alone until then
 }
 
 // NewExchange returns an exchange. The pool must be its own: chunks are large,
@@ -146,7 +146,9 @@
 	if w.Index < 0 || !reply.Has.Has(w.Index) || !x.enter() {
 		return nil
 	}
-	defer x.leave()
+	reply.Has = s.Have() // it may have waited for its turn
+	begun := time.Now()
+	defer func() { x.leave(begun, len(reply.Data)) }()
 
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
@@ -161,20 +163,45 @@
 	return nil
 }
 
+// enter waits for a turn to upload, unless others wait already.
 func (x *Exchange) enter() bool {
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.uploads >= mostUploads {
+	if x.uploads < x.pace.Uploads {
+		x.uploads++
+		x.mu.Unlock()
+		return true
+	}
+	if len(x.turns) >= x.pace.Queue {
+		x.mu.Unlock()
 		return false
 	}
-	x.uploads++
+	turn := make(chan struct{})
+	x.turns = append(x.turns, turn)
+	x.mu.Unlock()
+	<-turn // an upload that ends hands its turn on; each has its time
 	return true
 }
 
-func (x *Exchange) leave() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.uploads--
+// leave ends an upload. Its place is taken until the link has carried its bytes,
+// at the rate that uploads may have: they are still to be sent when the call
+// that asked for them returns.
+func (x *Exchange) leave(begun time.Time, bytes int) {
+	over := func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if len(x.turns) > 0 {
+			close(x.turns[0])
+			x.turns = x.turns[1:]
+			return
+		}
+		x.uploads--
+	}
+	if x.pace.UploadRate <= 0 {
+		over()
+		return
+	}
+	carried := time.Duration(float64(bytes) / x.pace.UploadRate * float64(time.Second))
+	time.AfterFunc(carried-time.Since(begun), over)
 }
 
 // Recheck verifies the stored chunks once more and reports whether all are as
--- a/internal/weights/chunk/plan.go
+++ b/internal/weights/chunk/plan.go
@@ -22,12 +22,12 @@
 	defer s.mu.Unlock()
 	defer func() { s.resting = false }()
 	var out []Fetch
-	if len(s.under) >= mostFetches {
+	if len(s.under) >= s.pace.Fetches {
 		return out
 	}
 	misses := 0
 	for _, w := range s.rarest() {
-		if len(s.under) >= mostFetches || misses >= mostMisses {
+		if len(s.under) >= s.pace.Fetches || misses >= mostMisses {
 			break
 		}
 		f, ok := s.plan(now, w)
--- a/internal/weights/chunk/swarm.go
+++ b/internal/weights/chunk/swarm.go
@@ -23,8 +23,7 @@
 
 // Bounds of a swarm's work.
 const (
-	mostFetches = 8 // chunks under way to this agent
-	mostPeer    = 2 // of those, from one peer
+	mostPeer = 2 // chunks under way from one peer
 
 	// A peer asks the same few neighbours most often, so that its cost doesn't
 	// grow with the swarm, and some others in turn.
@@ -34,9 +33,6 @@
 	roamEvery      = time.Second
 	mostSources    = 8
 
-	// A peer asks each neighbour as often as its number of neighbours allows.
-	askEach = 15 * time.Millisecond
-
 	// candidates is how many agents of a region may come to import a chunk.
 	candidates = 3
 
@@ -46,11 +42,9 @@
 
 	// The window of fetches from other regions grows with each chunk and
 	// shrinks when the way there becomes slow: weights yield to requests.
-	windowLeast = 2.0
-	windowMost  = 8.0
-	windowGain  = 0.25
-	slowWay     = 150 * time.Millisecond
-	slowWait    = 200 * time.Millisecond
+	windowGain = 0.25
+	slowWay    = 150 * time.Millisecond
+	slowWait   = 200 * time.Millisecond
 
 	// aroundWeight divides the weight of one question in a mean.
 	aroundWeight = 8
@@ -139,13 +133,13 @@
 		began:    now,
 		gained:   now,
 		has:      NewBitmap(m.Chunks()),
-		window:   windowMost / 2,
+		window:   Steady.FarMost / 2,
 		wake:     make(chan struct{}, 1),
 	}
 }
 
 // SetPace sets the times of the swarm; it is called before any other method.
-func (s *Swarm) SetPace(p Pace) { s.pace = p }
+func (s *Swarm) SetPace(p Pace) { s.pace, s.window = p, max(p.FarLeast, p.FarMost/2) }
 
 // changed returns a channel that has a token when a fetch has ended.
 func (s *Swarm) changed() <-chan struct{} { return s.wake }
@@ -272,7 +266,7 @@
 		s.nearest = took
 	}
 	if took-s.around > s.nearest+slowWay && now.Sub(s.slowed) > slowWait {
-		s.window = max(windowLeast, s.window/2)
+		s.window = max(s.pace.FarLeast, s.window/2)
 		s.slowed = now
 	}
 }
@@ -361,7 +355,7 @@
 	p.failures = 0
 	s.holds(now, p, has)
 	if p.Region != s.self.Region {
-		s.window = min(windowMost, s.window+windowGain/s.window)
+		s.window = min(s.pace.FarMost, s.window+windowGain/s.window)
 	}
 }
 
--- a/internal/weights/chunk/topology.go
+++ b/internal/weights/chunk/topology.go
@@ -42,7 +42,7 @@
 	for _, p := range s.peers {
 		p.near = slices.Contains(chosen, p.Incarnation)
 	}
-	s.askEvery = max(s.pace.AskLeast, time.Duration(len(chosen))*askEach)
+	s.askEvery = max(s.pace.AskLeast, time.Duration(len(chosen))*s.pace.AskEach)
 }
 
 // sources returns the importers before this agent in the chains of the chunks
--- a/internal/weights/replica/replica.go
+++ b/internal/weights/replica/replica.go
@@ -140,21 +140,25 @@
 	return configuration.Model{}, nil, false
 }
 
-// Parts of the time for a change of version in which engines change over. Before
-// the first, the chunks spread; after the last, an order may have to be repeated.
+// Times of changing over.
 const (
-	firstTurn = 0.3
-	lastTurn  = 0.75
+	// spreadTime is how long chunks take to arrive after a version is named.
+	spreadTime = 3200 * time.Millisecond
+
+	// turnMargin is left between the last engine's turn and the end of the time
+	// for the change: entries stop using engines that have not changed by then.
+	turnMargin = 600 * time.Millisecond
 )
 
-// Stagger returns how long after a version was named an engine changes over to
-// it, when all must have done so within a time: engines stop one after the
-// other, in an order that everybody works out alike.
-func Stagger(v fulmardeal.Version, name string, names []string, within time.Duration) time.Duration {
-	rank := membership.Rank("turn/"+v.String(), name, names)
-	part := firstTurn
-	if rank > 0 && len(names) > 1 {
-		part += (lastTurn - firstTurn) * float64(rank) / float64(len(names)-1)
+// Stagger returns when an engine changes over from the version that it holds,
+// when a newer one was named and must have replaced it within a time. An engine
+// ends the work in progress first and takes nothing new meanwhile, some two
+// seconds: so engines go one after the other, all in the same order.
+func Stagger(name string, names []string, named time.Time, within time.Duration) time.Time {
+	begin, end := named.Add(spreadTime), named.Add(within-turnMargin)
+	rank := membership.Rank("turn", name, names)
+	if rank <= 0 || len(names) < 2 || end.Before(begin) {
+		return begin
 	}
-	return time.Duration(part * float64(within))
+	return begin.Add(time.Duration(float64(end.Sub(begin)) * float64(rank) / float64(len(names)-1)))
 }
--- a/pool.go
+++ b/pool.go
@@ -229,6 +229,7 @@
 	Endpoint    string            // address of the endpoint beside an agent
 	Service     string            // of that endpoint
 	MemoryLimit int64             // bytes
+	LinkRate    float64           // of the instance's link, megabits a second
 	Beat        time.Duration     // of registrations
 	Bounds      Bounds
 }
