--- /dev/null
+++ b/internal/fleet/catalogue/table_test.go
@@ -0,0 +1,107 @@
+package catalogue
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/fleet/feed"
+)
+
+// TestScript runs testdata/table.txt: changes, and what must hold after them.
+func TestScript(t *testing.T) {
+	f, err := os.Open("testdata/table.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	var table Table
+	now := time.Unix(1000, 0)
+	scan := bufio.NewScanner(f)
+	for n := 1; scan.Scan(); n++ {
+		words := strings.Fields(scan.Text())
+		if len(words) == 0 || words[0] == "#" {
+			continue
+		}
+		if err := step(&table, &now, words); err != nil {
+			t.Errorf("line %d: %s: %v", n, scan.Text(), err)
+		}
+	}
+}
+
+// step runs one line of the script.
+func step(table *Table, now *time.Time, words []string) error {
+	number := func(i int) int64 {
+		n, err := strconv.ParseInt(words[i], 10, 64)
+		if err != nil {
+			panic(err)
+		}
+		return n
+	}
+	apply := func(c fulmardeal.Change) { table.Apply(*now, feed.Batch{Changes: []fulmardeal.Change{c}}) }
+	v := table.View()
+	switch words[0] {
+	case "new":
+		*table = Table{}
+	case "wait":
+		*now = now.Add(time.Duration(number(1)) * time.Second)
+	case "config": // OFFSET VERSION HOST=PREFIX=SERVICE...
+		c := &fulmardeal.Catalogue{Version: number(2)}
+		for _, w := range words[3:] {
+			p := strings.Split(w, "=")
+			c.Routes = append(c.Routes, fulmardeal.Route{Host: p[0], Prefix: p[1], Shares: []fulmardeal.Share{{Service: p[2]}}})
+		}
+		c.Customers = []fulmardeal.Customer{{Name: "c" + words[2], Keys: []string{"k" + words[2]}}}
+		apply(fulmardeal.Change{Key: "config", Offset: fulmardeal.Offset(number(1)), Catalogue: c})
+	case "named": // OFFSET MODEL VERSION
+		apply(fulmardeal.Change{Key: "version/" + words[2], Offset: fulmardeal.Offset(number(1)), Naming: &fulmardeal.Naming{Model: words[2], Version: number(3)}})
+	case "found": // MODEL VERSION: in the first list that is read
+		c := fulmardeal.Change{Key: "version/" + words[1], Naming: &fulmardeal.Naming{Model: words[1], Version: number(2)}}
+		table.Apply(*now, feed.Batch{Changes: []fulmardeal.Change{c}, Whole: true})
+	case "out": // OFFSET PLACE
+		apply(fulmardeal.Change{Key: "evacuate/" + words[2], Offset: fulmardeal.Offset(number(1)), Evacuation: words[2]})
+	case "gone": // OFFSET KEY
+		apply(fulmardeal.Change{Key: words[2], Offset: fulmardeal.Offset(number(1)), Gone: true})
+	case "list": // what is out, as a whole list says
+		b := feed.Batch{Whole: true}
+		for _, place := range words[1:] {
+			b.Changes = append(b.Changes, fulmardeal.Change{Key: "evacuate/" + place, Evacuation: place})
+		}
+		table.Apply(*now, b)
+	case "version?":
+		return same(v.Version(), number(1))
+	case "out?":
+		return same(strconv.FormatBool(v.Out(words[1])), words[2])
+	case "wanted?":
+		return same(v.Wanted(words[1]).Version, number(2))
+	case "superseded?": // MODEL VERSION AGE|no
+		since, is := v.Superseded(words[1], number(2))
+		if !is {
+			return same("no", words[3])
+		}
+		return same(strconv.Itoa(int(now.Sub(since).Seconds())), words[3])
+	case "key?":
+		return same(strconv.FormatBool(v.Customer(words[1]) != nil), words[2])
+	case "route?":
+		r := v.Route(words[1], words[2])
+		if r == nil {
+			return same("none", words[3])
+		}
+		return same(r.Shares[0].Service, words[3])
+	default:
+		return fmt.Errorf("not a step")
+	}
+	return nil
+}
+
+func same(got, want any) error {
+	if got != want {
+		return fmt.Errorf("got %v, want %v", got, want)
+	}
+	return nil
+}
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -38,6 +38,7 @@
 	Wait  time.Duration // a call waits so long for a change; it also finds a silent connection
 	Every time.Duration // pause between calls
 	Apply func(Batch)
+	Clock func() time.Duration // Uptime when it is nil
 	Log   *slog.Logger
 }
 
@@ -52,14 +53,19 @@
 }
 
 // New returns a follower that has heard nothing yet.
-func New(o Options) *Follower { return &Follower{options: o} }
+func New(o Options) *Follower {
+	if o.Clock == nil {
+		o.Clock = Uptime
+	}
+	return &Follower{options: o}
+}
 
 // Age returns how old the last word from the store is, and whether there was
 // any. Time during which the instance was suspended counts.
 func (f *Follower) Age() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Uptime() - f.heard, f.known
+	return f.options.Clock() - f.heard, f.known
 }
 
 // Run follows until the context ends.
@@ -88,7 +94,7 @@
 // step makes one call. It returns where to go on, and whether all has to be
 // read anew.
 func (f *Follower) step(ctx context.Context, next fulmardeal.Offset, whole bool) (fulmardeal.Offset, bool, error) {
-	begun := Uptime()
+	begun := f.options.Clock()
 	wait := f.options.Wait
 	if f.isDown() {
 		wait = 0
@@ -121,7 +127,7 @@
 	asOf := begun
 	if !whole && len(changes) == 0 {
 		// The store has waited for a change before it answered.
-		asOf = min(begun+wait, Uptime())
+		asOf = min(begun+wait, f.options.Clock())
 	}
 	batch := Batch{Changes: changes, Whole: whole, Silence: f.succeeded(asOf)}
 	for _, c := range changes {
--- /dev/null
+++ b/internal/fleet/feed/follower_test.go
@@ -0,0 +1,197 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmardeal"
+)
+
+// store is a feed with one record a second, that can be silent.
+type store struct {
+	mu     sync.Mutex
+	end    fulmardeal.Offset
+	first  fulmardeal.Offset
+	silent bool
+	calls  int
+	behind fulmardeal.Offset // by which answers are stale
+}
+
+func (s *store) Newest(ctx context.Context) ([]fulmardeal.Change, fulmardeal.Offset, error) {
+	s.mu.Lock()
+	s.calls++
+	silent, end := s.silent, s.end-s.behind
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return []fulmardeal.Change{{Key: "k", Offset: end - 1}}, end, nil
+}
+
+func (s *store) Since(ctx context.Context, from fulmardeal.Offset, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
+	defer cancel()
+	until := time.Now().Add(wait)
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		silent, end, first := s.silent, s.end-s.behind, s.first
+		s.mu.Unlock()
+		switch {
+		case silent:
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		case from < first:
+			return nil, 0, &fulmardeal.TrimmedError{First: first}
+		case from < end:
+			return []fulmardeal.Change{{Key: "k", Offset: end - 1}}, end, nil
+		case end < from:
+			return nil, end, nil
+		case !time.Now().Before(until):
+			return nil, from, nil
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (s *store) set(f func(s *store)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+// follow runs a follower in a bubble of virtual time and hands it to check.
+func follow(t *testing.T, wait time.Duration, check func(s *store, f *Follower, seen func() (fulmardeal.Offset, Batch))) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{end: 1}
+		var mu sync.Mutex
+		var last fulmardeal.Offset
+		var batch Batch
+		begun := time.Now()
+		clock := func() time.Duration { return time.Hour + time.Since(begun) }
+		f := New(Options{Name: "test", Feed: s, Wait: wait, Clock: clock, Log: slog.New(slog.DiscardHandler), Apply: func(b Batch) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, c := range b.Changes {
+				last, batch = c.Offset, b
+			}
+		}})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- f.Run(ctx) }()
+		check(s, f, func() (fulmardeal.Offset, Batch) {
+			mu.Lock()
+			defer mu.Unlock()
+			return last, batch
+		})
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestChangeIsKnownAtOnce(t *testing.T) {
+	follow(t, 15*time.Second, func(s *store, _ *Follower, seen func() (fulmardeal.Offset, Batch)) {
+		time.Sleep(3 * time.Second)
+		s.set(func(s *store) { s.end = 8 })
+		time.Sleep(50 * time.Millisecond)
+		if got, _ := seen(); got != 7 {
+			t.Errorf("offset %d known, want 7", got)
+		}
+	})
+}
+
+// gulposh-cards trouble-3: the store is silent for 8 s while two versions are
+// named; an agent whose call waits for a change used to learn of them 8 s after
+// the store's return.
+func TestChangeDuringSilenceIsKnownSoonAfter(t *testing.T) {
+	follow(t, 15*time.Second, func(s *store, f *Follower, seen func() (fulmardeal.Offset, Batch)) {
+		time.Sleep(time.Second)
+		s.set(func(s *store) { s.silent = true })
+		time.Sleep(30 * time.Second)
+		s.set(func(s *store) { s.silent, s.end = false, 9 })
+		time.Sleep(2 * time.Second)
+		if got, _ := seen(); got != 8 {
+			t.Errorf("offset %d known 2 s after the store's return, want 8", got)
+		}
+	})
+}
+
+func TestCallsAreBoundedWhileTheStoreIsSilent(t *testing.T) {
+	follow(t, time.Second, func(s *store, _ *Follower, _ func() (fulmardeal.Offset, Batch)) {
+		s.set(func(s *store) { s.silent = true })
+		time.Sleep(10 * time.Second)
+		before := s.calls
+		time.Sleep(10 * time.Second)
+		if n := s.calls - before; n > 15 {
+			t.Errorf("%d calls in 10 s of silence, want at most 15", n)
+		}
+	})
+}
+
+func TestTrimmedHistoryIsReadAnew(t *testing.T) {
+	follow(t, time.Second, func(s *store, _ *Follower, seen func() (fulmardeal.Offset, Batch)) {
+		time.Sleep(3 * time.Second)
+		s.set(func(s *store) { s.end, s.first = 100, 90 })
+		time.Sleep(100 * time.Millisecond)
+		got, b := seen()
+		if got != 99 || !b.Whole {
+			t.Errorf("offset %d, whole %v; want 99 read whole", got, b.Whole)
+		}
+	})
+}
+
+// A store that answers from a while ago undoes nothing.
+func TestStaleAnswersHaveNoEffect(t *testing.T) {
+	follow(t, 500*time.Millisecond, func(s *store, _ *Follower, seen func() (fulmardeal.Offset, Batch)) {
+		s.set(func(s *store) { s.end = 50 })
+		time.Sleep(2 * time.Second)
+		s.set(func(s *store) { s.behind = 30 })
+		time.Sleep(2 * time.Second)
+		if got, _ := seen(); got != 49 {
+			t.Errorf("offset %d, want 49", got)
+		}
+		s.set(func(s *store) { s.behind, s.end = 0, 60 })
+		time.Sleep(2 * time.Second)
+		if got, _ := seen(); got != 59 {
+			t.Errorf("offset %d, want 59", got)
+		}
+	})
+}
+
+func TestStaleErrorTellsBothOffsets(t *testing.T) {
+	var stale *StaleError
+	if err := error(&StaleError{Have: 9, Got: 3}); !errors.As(err, &stale) || stale.Have != 9 || stale.Got != 3 {
+		t.Error(err)
+	}
+}
+
+// What is believed of the store is never younger than it is: a key that was
+// removed must not be taken for confirmed.
+func TestAgeIsNeverTooYoung(t *testing.T) {
+	const wait = 1500 * time.Millisecond
+	follow(t, wait, func(s *store, f *Follower, _ func() (fulmardeal.Offset, Batch)) {
+		time.Sleep(10 * time.Second)
+		if age, known := f.Age(); !known || age > wait+100*time.Millisecond {
+			t.Errorf("age %v, known %v; want at most the wait of a call", age, known)
+		}
+		s.set(func(s *store) { s.silent = true })
+		silent := time.Now()
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			if age, _ := f.Age(); age < time.Since(silent) {
+				t.Errorf("age %v after %v of silence", age, time.Since(silent))
+			}
+		}
+	})
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -31,7 +31,7 @@
 // is safe for concurrent use.
 type Roster struct {
 	mu      sync.Mutex
-	rows    []*row // sorted by id
+	rows    []*row    // sorted by id
 	silence time.Time // when the last silence of the store ended
 	version uint64
 }
--- /dev/null
+++ b/internal/fleet/roster/roster_test.go
@@ -0,0 +1,104 @@
+package roster
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/fleet/feed"
+)
+
+// TestScript runs testdata/roster.txt: batches, and the list that must follow.
+func TestScript(t *testing.T) {
+	f, err := os.Open("testdata/roster.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	var r Roster
+	start := time.Unix(1000, 0)
+	now := start
+	scan := bufio.NewScanner(f)
+	for n := 1; scan.Scan(); n++ {
+		words := strings.Fields(scan.Text())
+		if len(words) == 0 || words[0] == "#" {
+			continue
+		}
+		if err := step(&r, start, &now, words); err != nil {
+			t.Errorf("line %d: %s: %v", n, scan.Text(), err)
+		}
+	}
+}
+
+// step runs one line: "at SECONDS", "batch [whole] [silence=SECONDS] CHANGE...",
+// "list ID...". A change is OFFSET+ID (ready), OFFSET~ID (draining), OFFSET-ID
+// (gone) or OFFSET!ID (unreadable).
+func step(r *Roster, start time.Time, now *time.Time, words []string) error {
+	switch words[0] {
+	case "new":
+		*r = Roster{}
+	case "at":
+		s, err := strconv.ParseFloat(words[1], 64)
+		if err != nil {
+			return err
+		}
+		*now = start.Add(time.Duration(s * float64(time.Second)))
+		r.Expire(*now)
+	case "batch":
+		var b feed.Batch
+		for _, w := range words[1:] {
+			if err := add(&b, w); err != nil {
+				return err
+			}
+		}
+		r.Apply(*now, b)
+	case "list":
+		var got []string
+		for _, x := range r.List() {
+			name := x.ID
+			if x.Draining {
+				name = "~" + name
+			}
+			got = append(got, name)
+		}
+		if g, w := strings.Join(got, " "), strings.Join(words[1:], " "); g != w {
+			return fmt.Errorf("got %q", g)
+		}
+	default:
+		return fmt.Errorf("not a step")
+	}
+	return nil
+}
+
+func add(b *feed.Batch, word string) error {
+	if word == "whole" {
+		b.Whole = true
+		return nil
+	}
+	if s, is := strings.CutPrefix(word, "silence="); is {
+		f, err := strconv.ParseFloat(s, 64)
+		b.Silence = time.Duration(f * float64(time.Second))
+		return err
+	}
+	i := strings.IndexAny(word, "+~-!")
+	offset, err := strconv.ParseInt(word[:i], 10, 64)
+	if err != nil {
+		return err
+	}
+	c := fulmardeal.Change{Key: word[i+1:], Offset: fulmardeal.Offset(offset)}
+	switch word[i] {
+	case '-':
+		c.Gone = true
+	case '!':
+		c.Fault = fmt.Errorf("unreadable")
+	default:
+		c.Registration = &fulmardeal.Registration{ID: c.Key, Draining: word[i] == '~', Sequence: offset}
+	}
+	b.Changes = append(b.Changes, c)
+	return nil
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -32,11 +32,11 @@
 	// operatorWait is how long a call waits for a change of the configuration.
 	// A connection that has gone silent is found after that and a call's
 	// timeout, well within the 5 s in which a removed key must be refused.
-	operatorWait = time.Second
+	operatorWait = 1500 * time.Millisecond
 
-	// rosterEvery is how often the registrations are read. An endpoint's notice
-	// of leaving has to be known 2 s after it was written.
-	rosterEvery = 700 * time.Millisecond
+	// rosterPart of the time within which an endpoint's notice of leaving must
+	// be known is the pause between two reads of the registrations: one may fail.
+	rosterPart = 0.35
 
 	tickEvery = 20 * time.Millisecond // room that comes with time alone
 
@@ -165,7 +165,7 @@
 		cleanups = append(cleanups, func() { listener.Close() })
 	}
 	g.operator = feed.New(feed.Options{Name: "operator", Feed: o.Store.Operator(), Wait: operatorWait, Apply: g.operated, Log: o.Log})
-	g.listed = feed.New(feed.Options{Name: "registrations", Feed: o.Store.Registrations(), Every: rosterEvery, Apply: g.registered, Log: o.Log})
+	g.listed = feed.New(feed.Options{Name: "registrations", Feed: o.Store.Registrations(), Every: time.Duration(rosterPart * float64(o.Site.Bounds.Drain)), Apply: g.registered, Log: o.Log})
 	return g, cleanup, nil
 }
 
--- a/internal/process/loader/loader.go
+++ b/internal/process/loader/loader.go
@@ -25,13 +25,14 @@
 
 // Times and bounds of an agent.
 const (
-	operatorWait = 8 * time.Second // a version that is named is told at once; this only bounds a call
+	operatorWait = 15 * time.Second // a version that is named is told at once; this only bounds a call
 	lookEvery    = 250 * time.Millisecond
 	lookSoon     = 50 * time.Millisecond // while the engine loads
 	memoryPart   = 0.7                   // of the memory limit, for the heap
 	mostClients  = 64                    // connections to other agents
-	peersEvery   = 700 * time.Millisecond
-	entriesFor   = 2 * time.Second // the list of entries may be so old
+	peersEvery   = 3 * time.Second       // a spread takes about that long; peers that start meanwhile find the others
+	entriesFor   = 20 * time.Second      // the list of entries may be so old; who isn't told learns it from the registration
+	heapGrowth   = 40                    // per cent, instead of 100: memory is dearer than processor time here
 )
 
 // Engine is the engine beside the agent, with its staged chunks.
@@ -121,6 +122,7 @@
 // Run works until the context ends.
 func (l *Loader) Run(ctx context.Context) error {
 	s := l.options.Site
+	debug.SetGCPercent(heapGrowth)
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryLimit)))
 	}
--- a/internal/traffic/sharing/mesh.go
+++ b/internal/traffic/sharing/mesh.go
@@ -24,7 +24,7 @@
 
 	// listEvery is how often the list of entries is read again. New entries
 	// make themselves known at once; the list finds those that were cut off.
-	listEvery = 5 * time.Second
+	listEvery = 10 * time.Second
 	listRetry = 300 * time.Millisecond
 
 	peerGone = 10 * time.Second // after such a silence an entry is told nothing until it is listed again
