--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -114,7 +114,6 @@
 
 	mu      sync.Mutex
 	repeats map[string]*budget.Repeats // by service
-	longest map[string]time.Duration   // longest deadline seen, by route
 }
 
 // New opens the gateway's listeners. The returned function releases what it
@@ -134,7 +133,6 @@
 		log:     o.Log,
 		stats:   stats,
 		repeats: make(map[string]*budget.Repeats),
-		longest: make(map[string]time.Duration),
 	}
 	g.table = dispatch.New(dispatch.Options{
 		DataCentre: o.Site.DataCentre, Region: o.Site.Region, Regions: o.Site.Regions, Bounds: o.Site.Bounds, Seed: o.Seed,
@@ -316,17 +314,3 @@
 	}
 	return r
 }
-
-// elapsed returns how long a caller has been at it already: callers that come
-// back after a refusal have less time than those that come first.
-func (g *Gateway) elapsed(route string, deadline time.Duration) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if deadline > g.longest[route] {
-		g.longest[route] = deadline
-	}
-	if deadline == 0 {
-		return 0
-	}
-	return g.longest[route] - deadline
-}
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fulmardeal"
 	"fulmardeal/internal/traffic/dispatch"
 	"fulmardeal/internal/traffic/forward"
@@ -21,10 +23,6 @@
 	// that refuse it too.
 	mostSends = 5
 
-	// returned is the time used up by which a caller counts as one that comes
-	// back after a refusal.
-	returned = 30 * time.Millisecond
-
 	// unconfiguredAfter is when to come back to an entry that has just started.
 	unconfiguredAfter = 300 * time.Millisecond
 
@@ -44,14 +42,15 @@
 	version  int64 // of the configuration that decided
 	begun    time.Time
 	deadline time.Time
-	elapsed  time.Duration // before this attempt, as far as the deadline tells
+	print    uint64 // of what is asked for; the same when the caller comes back
 	writer   http.ResponseWriter
 
-	tried []string // endpoints that are not to be asked again
-	sends int      // requests sent to endpoints, refused ones too
-	runs  int      // endpoints that may have run it
-	last  *failure // the last failure of an endpoint, to be handed on
-	relay relay    // of a stream
+	waited time.Duration // in line
+	tried  []string      // endpoints that are not to be asked again
+	sends  int           // requests sent to endpoints, refused ones too
+	runs   int           // endpoints that may have run it
+	last   *failure      // the last failure of an endpoint, to be handed on
+	relay  relay         // of a stream
 }
 
 // failure is an endpoint's own answer that is no success.
@@ -166,7 +165,13 @@
 		limit = min(limit, d)
 	}
 	j.deadline = j.begun.Add(limit)
-	j.elapsed = j.gateway.elapsed(j.route.Name, j.facts.Deadline)
+	var h xxhash.Digest
+	for _, part := range []string{j.message.Method, j.message.Host, j.message.Target, j.facts.Key, j.facts.Prefix} {
+		_, _ = h.WriteString(part) // a Digest never fails
+		_, _ = h.WriteString("\x00")
+	}
+	_, _ = h.Write(j.message.Body)
+	j.print = h.Sum64()
 }
 
 // pickShare draws one of a route's services by weight. The caller's attempt
@@ -202,7 +207,9 @@
 func (j *job) run(ctx context.Context) {
 	g := j.gateway
 	for {
+		asked := time.Now()
 		place, err := g.table.Place(ctx, j.want())
+		j.waited += time.Since(asked)
 		if err != nil {
 			j.unplaced(ctx, err)
 			return
@@ -227,7 +234,6 @@
 }
 
 func (j *job) want() *dispatch.Want {
-	now := time.Now()
 	w := &dispatch.Want{
 		Service:   j.service,
 		Homes:     j.homes,
@@ -236,10 +242,12 @@
 		Exact:     j.relay.weights,
 		Tried:     j.tried,
 		Latest:    j.deadline,
-		Objective: j.begun.Add(j.route.Objective - j.elapsed),
+		Print:     j.print,
+		Sent:      j.begun,
+		Objective: j.route.Objective,
 	}
 	if j.relay.begun {
-		w.Objective = now.Add(j.route.Pause)
+		w.Sent, w.Objective = time.Now(), j.route.Pause
 	}
 	return w
 }
@@ -424,7 +432,7 @@
 		return
 	}
 	j.log.Info("refused", "reason", refused.Reason, "service", j.service, "after", refused.After, "waited", refused.Waited,
-		"prompt", j.facts.Prompt, "elapsed", j.elapsed, "version", j.version)
+		"prompt", j.facts.Prompt, "version", j.version)
 	j.refuse(http.StatusServiceUnavailable, string(refused.Reason), refused.After)
 }
 
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -71,7 +71,7 @@
 			x.Release(r.Keep)
 			g.stats.served(j.service, time.Since(j.begun))
 			j.log.Info("served", "endpoint", p.Endpoint().ID(), "first", j.relay.first, "pause", j.relay.longest, "events", j.relay.events,
-				"expected", p.Expected(), "prompt", j.facts.Prompt, "sends", j.sends+1, "weights", r.Weights)
+				"expected", p.Expected(), "waited", j.waited, "prompt", j.facts.Prompt, "sends", j.sends+1, "weights", r.Weights)
 			return answered, dispatch.FateServed
 		case err != nil:
 			return j.unanswered(ctx, p, err)
--- a/internal/traffic/dispatch/placing.go
+++ b/internal/traffic/dispatch/placing.go
@@ -38,9 +38,10 @@
 	Output    int
 	Exact     int64    // the version of the weights that must answer; 0 is any
 	Tried     []string // ids of endpoints that are not to be asked again
-	Worth     float64  // relative to the mean request of the service
-	Latest    time.Time
-	Objective time.Time // when its answer, or first event, should be there
+	Print     uint64   // what it asks for; the same when its caller comes back
+	Sent      time.Time
+	Latest    time.Time     // when it must have its final answer
+	Objective time.Duration // from when its caller first sent it to the answer or first event
 }
 
 // others are what other entries have at one endpoint.
--- a/internal/traffic/dispatch/rejecting.go
+++ b/internal/traffic/dispatch/rejecting.go
@@ -20,13 +20,25 @@
 // engines have long prompts to read.
 func hopeless(now time.Time, w *Want) bool { return w.Latest.Sub(now) < leastLeft }
 
-// crowded reports whether the line has more requests than places come free
-// within the time that one may wait. It answers a burst: who joins behind
-// would only wait to be refused.
-func crowded(waiting int, freed float64) bool {
-	return float64(waiting) > lineLeast+freed*mostWait.Seconds()
+// outrun returns those in line whose turn won't come: behind so many others that
+// the places that come free until then go to those. It answers an overload that
+// lasts, in which whoever waits in vain should know at once. The line is sorted.
+func (l *line) outrun(now time.Time, freed float64) []*waiter {
+	var out []*waiter
+	for i, x := range l.waiters {
+		if float64(i) > lineLeast+freed*x.until.Sub(now).Seconds() {
+			out = append(out, x)
+		}
+	}
+	return out
 }
 
-// lineLeast is how many may wait while nothing is known of the rate at which
-// places come free.
+// lineLeast is how many may wait beyond what the mean rate of freed places
+// promises: places come free in bunches, at the end of an engine's pass.
 const lineLeast = 4
+
+// yields reports whether a request that can't be answered in time any more must
+// leave room to others. It answers callers that come back in an overload: a
+// place for one of them is one less for a request that is still in time, here or
+// at another entry.
+func yields(late bool, pressing int) bool { return late && pressing > 0 }
--- a/internal/traffic/dispatch/replay_test.go
+++ b/internal/traffic/dispatch/replay_test.go
@@ -306,9 +306,9 @@
 func (w *world) share(ctx context.Context) {
 	for ctx.Err() == nil {
 		time.Sleep(20 * time.Millisecond)
-		var all [][]Load
+		var all []News
 		for _, t := range w.tables {
-			all = append(all, t.Loads())
+			all = append(all, t.News())
 		}
 		for i, t := range w.tables {
 			for j, l := range all {
@@ -335,7 +335,7 @@
 	}
 	for try := range uint64(2) {
 		sent := time.Now()
-		want := &Want{Service: "llm", Prompt: prompt, Output: output, Latest: begun.Add(patience), Objective: objective}
+		want := &Want{Service: "llm", Prompt: prompt, Output: output, Print: lot, Sent: sent, Latest: begun.Add(patience), Objective: objective.Sub(begun)}
 		address, first, end, err := entries[(lot+try)%uint64(len(entries))].place(ctx, want)
 		if err != nil {
 			w.mu.Lock()
--- a/internal/traffic/dispatch/table.go
+++ b/internal/traffic/dispatch/table.go
@@ -41,6 +41,7 @@
 	services map[string]*group
 	view     *catalogue.View
 	peers    map[string]*peer // by entry
+	memory   memory
 }
 
 // group is the endpoints of one service.
@@ -122,34 +123,48 @@
 // longer count: it has stopped, or is cut off.
 const peerSilent = time.Second
 
-// Load is what an entry has at one endpoint.
+// Load is what an entry has at one endpoint, or in line for a service.
 type Load struct {
-	Endpoint uint64 // hash of its id
+	Endpoint uint64 // hash of its id, or of the line
 	Running  int
 	Unread   int
 }
 
-// Loads returns what this entry has at the endpoints.
-func (t *Table) Loads() []Load {
+// News is what entries tell each other.
+type News struct {
+	Loads   []Load
+	Refused []Refused
+}
+
+// News returns what this entry has at the endpoints and in its lines, and what
+// it has just refused.
+func (t *Table) News() News {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []Load
-	for _, g := range t.services {
+	now := time.Now()
+	out := News{Refused: t.memory.news(now)}
+	for name, g := range t.services {
+		if n := g.line.pressing(now); n > 0 {
+			out.Loads = append(out.Loads, Load{Endpoint: lineHash(name), Running: n})
+		}
 		for _, e := range g.endpoints {
 			if e.running > 0 {
-				out = append(out, Load{Endpoint: e.hash, Running: e.running, Unread: e.unread})
+				out.Loads = append(out.Loads, Load{Endpoint: e.hash, Running: e.running, Unread: e.unread})
 			}
 		}
 	}
 	return out
 }
 
-// Hear takes over what another entry has at the endpoints.
-func (t *Table) Hear(now time.Time, entry string, loads []Load) {
+// Hear takes over what another entry tells.
+func (t *Table) Hear(now time.Time, entry string, n News) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := &peer{heard: now, others: make(map[uint64]others, len(loads))}
-	for _, l := range loads {
+	for _, r := range n.Refused {
+		t.memory.put(now, r.Print, now.Add(-r.Age))
+	}
+	p := &peer{heard: now, others: make(map[uint64]others, len(n.Loads))}
+	for _, l := range n.Loads {
 		p.others[l.Endpoint] = others{running: l.Running, unread: l.Unread}
 	}
 	t.peers[entry] = p
@@ -254,9 +269,11 @@
 	}
 	timer := time.NewTimer(time.Until(x.until))
 	defer timer.Stop()
+	reason = RefusedFull
 	select {
 	case e := <-x.turn:
 		return t.placed(w, e), nil
+	case reason = <-x.over:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -270,7 +287,7 @@
 		default:
 		}
 	}
-	return nil, t.refuse(w, RefusedFull, time.Since(now))
+	return nil, t.refuse(w, reason, time.Since(now))
 }
 
 // enter places a request at once, or puts it in line, or says why neither.
@@ -282,7 +299,12 @@
 	if hopeless(now, w) {
 		return nil, nil, RefusedLate
 	}
+	first := t.memory.since(w.Sent, w.Print)
 	f := t.field(now, g)
+	x := newWaiter(now, w, first, first.Add(w.Objective-soonest(g, w)))
+	if yields(x.late(now), t.pressing(now, w.Service, g)) {
+		return nil, nil, RefusedFull
+	}
 	e, known := place(f, g.endpoints, w, t.random)
 	if e != nil {
 		expected := predict(f, e, w) - e.lagNow(now)
@@ -292,14 +314,35 @@
 	if !known {
 		return nil, nil, RefusedNone
 	}
-	if crowded(len(g.line.waiters), g.rate) {
-		return nil, nil, RefusedFull
-	}
-	x := &waiter{want: w, joined: now, until: waitUntil(now, w, soonest(g, w)), turn: make(chan *Endpoint, 1)}
 	g.line.waiters = append(g.line.waiters, x)
+	t.turnAway(now, g)
 	return nil, x, ""
 }
 
+// turnAway refuses those in line whose turn won't come.
+func (t *Table) turnAway(now time.Time, g *group) {
+	g.line.order(now)
+	for _, x := range g.line.outrun(now, g.rate) {
+		g.line.leave(x)
+		x.over <- RefusedFull
+	}
+}
+
+// pressing returns how many wait for a service, here and at other entries, that
+// can still be answered in time.
+func (t *Table) pressing(now time.Time, service string, g *group) int {
+	n := g.line.pressing(now)
+	for _, p := range t.peers {
+		if now.Sub(p.heard) <= peerSilent {
+			n += p.others[lineHash(service)].running
+		}
+	}
+	return n
+}
+
+// lineHash stands for a service's line among the endpoints in a message.
+func lineHash(service string) uint64 { return xxhash.Sum64String("line/" + service) }
+
 // soonest returns how long a request takes to its first event at an engine
 // that has nothing else to read.
 func soonest(g *group, w *Want) time.Duration {
@@ -331,11 +374,13 @@
 func (t *Table) refuse(w *Want, r Refusal, waited time.Duration) *RefusedError {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	waiting, rate := 0, 0.0
+	now := time.Now()
+	t.memory.note(now, w.Print, t.memory.since(w.Sent, w.Print))
+	pressing := 0
 	if g := t.services[w.Service]; g != nil {
-		waiting, rate = len(g.line.waiters), g.rate
+		pressing = t.pressing(now, w.Service, g)
 	}
-	return &RefusedError{Reason: r, After: comeBack(r, waiting, rate, t.random), Waited: waited}
+	return &RefusedError{Reason: r, After: comeBack(r, pressing, t.random), Waited: waited}
 }
 
 // settle gives room to those in line.
@@ -345,7 +390,16 @@
 	}
 	f := t.field(now, g)
 	g.line.order(now)
+	pressing := 0
+	for name, x := range t.services {
+		if x == g {
+			pressing = t.pressing(now, name, g)
+		}
+	}
 	for _, x := range slices.Clone(g.line.waiters) {
+		if yields(x.late(now), pressing) {
+			break // so must all behind it
+		}
 		e, _ := place(f, g.endpoints, x.want, t.random)
 		if e == nil {
 			continue
--- a/internal/traffic/dispatch/waiting.go
+++ b/internal/traffic/dispatch/waiting.go
@@ -5,18 +5,18 @@
 	"time"
 )
 
-// mostWait bounds the time in line. Over the whole fleet a place comes free
-// every few milliseconds; who has not had one by then is one of too many, and
-// its caller does better to know.
-const mostWait = 150 * time.Millisecond
+// mostWait bounds the time in line: the objectives of the small deployments less
+// the time that an idle engine takes to begin.
+const mostWait = 250 * time.Millisecond
 
 // waiter is one request in line.
 type waiter struct {
 	want   *Want
-	joined time.Time
+	first  time.Time // when its caller first sent it
+	start  time.Time // when it has to begin to be answered in time
 	until  time.Time // when waiting no longer pays
 	turn   chan *Endpoint
-	gone   bool
+	over   chan Refusal // it is turned away before its time is up
 }
 
 // line is the requests of one service that wait for room.
@@ -24,36 +24,57 @@
 	waiters []*waiter
 }
 
-// waitUntil returns until when a request may wait: as long as it can still be
-// answered in time, or, when it is late already, for a short moment in which
+// newWaiter returns a request that joins the line. It may wait as long as it can
+// still be answered in time, or, when that is over, for a short moment in which
 // room that nobody else has a claim to may come free.
-func waitUntil(now time.Time, w *Want, soonest time.Duration) time.Time {
+func newWaiter(now time.Time, w *Want, first, start time.Time) *waiter {
 	until := now.Add(mostWait)
-	if last := w.Objective.Add(-soonest); last.After(now) {
-		until = minTime(until, last)
+	if start.After(now) {
+		until = minTime(until, start)
+	} else {
+		until = now.Add(lateWait)
+	}
+	return &waiter{
+		want: w, first: first, start: start, until: minTime(until, w.Latest),
+		turn: make(chan *Endpoint, 1), over: make(chan Refusal, 1),
 	}
-	return minTime(until, w.Latest)
 }
 
+// lateWait is how long a request waits that can't be answered in time any more.
+const lateWait = 50 * time.Millisecond
+
 // order sorts the line. It answers a load above what the engines bear, where
 // somebody has to go without: those who can still be answered in time go before
-// those who can't, and among them who has most time left. Whoever has least is
-// answered late if the prediction is off by a little, and then a place was spent
-// on a quarter of its worth; serving those first makes everybody wait until then.
+// those who can't, and among them who came last. Whoever came first has least
+// time left, is answered late if the prediction is off by a little, and then a
+// place was spent on a quarter of its worth; serving those first makes everybody
+// wait until then. Kinds with a longer objective have no advantage.
 func (l *line) order(now time.Time) {
 	slices.SortStableFunc(l.waiters, func(a, b *waiter) int {
-		x, y := late(now, a.want), late(now, b.want)
+		x, y := a.late(now), b.late(now)
 		switch {
 		case !x && y:
 			return -1
 		case x && !y:
 			return 1
 		}
-		return b.until.Compare(a.until)
+		return b.first.Compare(a.first)
 	})
 }
 
-func late(now time.Time, w *Want) bool { return !now.Before(w.Objective) }
+// late reports whether a request can no longer be answered in time.
+func (x *waiter) late(now time.Time) bool { return !now.Before(x.start) }
+
+// pressing returns how many in line can still be answered in time.
+func (l *line) pressing(now time.Time) int {
+	n := 0
+	for _, x := range l.waiters {
+		if !x.late(now) {
+			n++
+		}
+	}
+	return n
+}
 
 // leave takes a waiter out. It reports whether it was still there.
 func (l *line) leave(x *waiter) bool {
--- a/internal/traffic/sharing/mesh.go
+++ b/internal/traffic/sharing/mesh.go
@@ -52,7 +52,7 @@
 
 	mu     sync.Mutex
 	peers  map[string]*member // by address
-	rounds map[string]*loadsPart
+	rounds map[string]*newsPart
 }
 
 // member is another entry.
@@ -71,7 +71,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	m := &Mesh{options: o, conn: c, peers: make(map[string]*member), rounds: make(map[string]*loadsPart)}
+	m := &Mesh{options: o, conn: c, peers: make(map[string]*member), rounds: make(map[string]*newsPart)}
 	return m, func() { c.Close() }, nil
 }
 
@@ -108,7 +108,7 @@
 	if len(to) == 0 {
 		return 0
 	}
-	for _, b := range encodeLoads(m.options.Name, round, m.options.Table.Loads()) {
+	for _, b := range encodeNews(m.options.Name, round, m.options.Table.News()) {
 		for _, a := range to {
 			// A datagram that can't be sent is as good as lost.
 			_, _ = m.conn.WriteToUDP(b, a)
@@ -144,14 +144,14 @@
 		m.options.Log.Info("engine told", "endpoint", n.Address, "weights", n.Weights, "loading", n.Loading)
 		m.options.Table.Heed(now, n.Address, n.Weights, n.Loading)
 		return nil
-	case kindLoads:
-		p, err := decodeLoads(data[1:])
+	case kindNews:
+		p, err := decodeNews(data[1:])
 		if err != nil {
 			return err
 		}
 		m.meet(now, from)
-		if loads, whole := m.join(p); whole {
-			m.options.Table.Hear(now, p.entry, loads)
+		if news, whole := m.join(p); whole {
+			m.options.Table.Hear(now, p.entry, news)
 		}
 		return nil
 	}
@@ -159,9 +159,9 @@
 }
 
 // join puts the parts of one round together.
-func (m *Mesh) join(p loadsPart) ([]dispatch.Load, bool) {
+func (m *Mesh) join(p newsPart) (dispatch.News, bool) {
 	if p.parts == 1 {
-		return p.loads, true
+		return p.news, true
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -170,11 +170,12 @@
 		if p.part == 0 {
 			m.rounds[p.entry] = &p
 		}
-		return nil, false
+		return dispatch.News{}, false
 	}
 	have.part = p.part
-	have.loads = append(have.loads, p.loads...)
-	return have.loads, p.part+1 == p.parts
+	have.news.Loads = append(have.news.Loads, p.news.Loads...)
+	have.news.Refused = append(have.news.Refused, p.news.Refused...)
+	return have.news, p.part+1 == p.parts
 }
 
 func (m *Mesh) meet(now time.Time, a *net.UDPAddr) {
--- a/internal/traffic/sharing/message.go
+++ b/internal/traffic/sharing/message.go
@@ -7,13 +7,14 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"time"
 
 	"fulmardeal/internal/traffic/dispatch"
 )
 
 // Kinds of datagrams.
 const (
-	kindLoads  = 'L'
+	kindNews   = 'L'
 	kindNotice = 'N'
 )
 
@@ -34,14 +35,20 @@
 
 func (e *MessageError) Error() string { return "datagram: " + e.Reason }
 
-// encodeLoads returns what an entry has at the endpoints, in as many datagrams
-// as it takes. Each begins with the number of the round and its place in it.
-func encodeLoads(entry string, round uint64, loads []dispatch.Load) [][]byte {
-	most := (mostDatagram - 64 - len(entry)) / (8 + 2*binary.MaxVarintLen32)
-	parts := max(1, (len(loads)+most-1)/most)
+// mostRefused is how many refusals one datagram holds beside the loads. A round
+// tells the latest ones; of a flood, each part tells some.
+const mostRefused = 30
+
+// encodeNews returns what an entry tells, in as many datagrams as it takes. Each
+// begins with the number of the round and its place in it.
+func encodeNews(entry string, round uint64, n dispatch.News) [][]byte {
+	loads, refused := n.Loads, n.Refused
+	const refusal = 8 + binary.MaxVarintLen16
+	most := (mostDatagram - 64 - len(entry) - mostRefused*refusal) / (8 + 2*binary.MaxVarintLen32)
+	parts := max(1, (len(loads)+most-1)/most, (len(refused)+mostRefused-1)/mostRefused)
 	var out [][]byte
 	for i := range parts {
-		b := []byte{kindLoads}
+		b := []byte{kindNews}
 		b = appendText(b, entry)
 		b = binary.AppendUvarint(b, round)
 		b = binary.AppendUvarint(b, uint64(i))
@@ -53,6 +60,12 @@
 			b = binary.AppendUvarint(b, uint64(l.Running))
 			b = binary.AppendUvarint(b, uint64(l.Unread))
 		}
+		some := refused[min(len(refused), i*mostRefused):min(len(refused), (i+1)*mostRefused)]
+		b = binary.AppendUvarint(b, uint64(len(some)))
+		for _, x := range some {
+			b = binary.BigEndian.AppendUint64(b, x.Print)
+			b = binary.AppendUvarint(b, uint64(max(0, x.Age.Milliseconds())))
+		}
 		out = append(out, b)
 	}
 	return out
@@ -116,21 +129,21 @@
 	return v
 }
 
-// loadsPart is one datagram of an entry's loads.
-type loadsPart struct {
+// newsPart is one datagram of an entry's news.
+type newsPart struct {
 	entry string
 	round uint64
 	part  uint64
 	parts uint64
-	loads []dispatch.Load
+	news  dispatch.News
 }
 
 // mostCount bounds requests and tokens in a message; more is a fault.
 const mostCount = 1 << 30
 
-func decodeLoads(data []byte) (loadsPart, error) {
+func decodeNews(data []byte) (newsPart, error) {
 	r := reader{data: data}
-	p := loadsPart{entry: r.text(), round: r.number(), part: r.number(), parts: r.number()}
+	p := newsPart{entry: r.text(), round: r.number(), part: r.number(), parts: r.number()}
 	n := r.number()
 	if n > mostDatagram || p.parts > mostDatagram || p.part >= p.parts && r.err == nil {
 		r.fail(fmt.Sprintf("part %d of %d with %d loads", p.part, p.parts, n))
@@ -145,7 +158,21 @@
 			r.fail("a load is out of bounds")
 		}
 		l.Running, l.Unread = int(running), int(unread)
-		p.loads = append(p.loads, l)
+		p.news.Loads = append(p.news.Loads, l)
+	}
+	n = r.number()
+	if n > mostDatagram {
+		r.fail("too many refusals")
+	}
+	for range n {
+		if r.err != nil {
+			break
+		}
+		print, age := r.hash(), r.number()
+		if age > mostCount {
+			r.fail("an age is out of bounds")
+		}
+		p.news.Refused = append(p.news.Refused, dispatch.Refused{Print: print, Age: time.Duration(age) * time.Millisecond})
 	}
 	return p, r.err
 }
--- a/pool.go
+++ b/pool.go
@@ -244,6 +244,7 @@
 	Output   int    // tokens at most
 	Hint     int    // tokens of output that the caller expects; 0 when it didn't say
 	Resume   string // id of the last event that the caller has
+	Prefix   string // parts of the prompt that other requests may share
 }
 
 // Forward is what an entry adds to a request for an endpoint.
