traffic/sharing, process/loader: agents hear of named versions from entries

Three entries by rendezvous hash tell each agent the named versions, at once and every second; agents read the store at the start, when nobody has told them for 4 s, and when a fetch has failed.

--- a/internal/fleet/catalogue/table.go
+++ b/internal/fleet/catalogue/table.go
@@ -88,6 +88,34 @@
 	return events
 }
 
+// Learn takes over a named version that another process tells of, and reports
+// whether it is news.
+func (t *Table) Learn(since time.Time, n fulmardeal.Naming) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := *t.View()
+	wanted := make(map[string][]Wanted, len(next.wanted)+1)
+	for k, w := range next.wanted {
+		wanted[k] = w
+	}
+	next.wanted = wanted
+	if len(next.take(since, fulmardeal.Change{Naming: &n})) == 0 {
+		return false
+	}
+	t.view.Store(&next)
+	return true
+}
+
+// Named returns the newest named version of each model.
+func (v *View) Named() []fulmardeal.Naming {
+	var out []fulmardeal.Naming
+	for model, list := range v.wanted {
+		out = append(out, fulmardeal.Naming{Model: model, Version: list[len(list)-1].Version})
+	}
+	slices.SortFunc(out, func(a, b fulmardeal.Naming) int { return cmp.Compare(a.Model, b.Model) })
+	return out
+}
+
 // take takes over one change.
 func (v *View) take(since time.Time, c fulmardeal.Change) []Event {
 	switch {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -142,7 +142,8 @@
 	cleanups = append(cleanups, closePool)
 	address := net.JoinHostPort(o.Site.Host, itoa(o.Site.Ports[0]))
 	mesh, closeMesh, err := sharing.NewMesh(sharing.Options{
-		Name: o.Site.Name, Listen: address, Table: g.table, Entries: o.Store.Entries(), Announce: o.Store, Log: o.Log,
+		Name: o.Site.Name, Listen: address, Table: g.table, Entries: o.Store.Entries(), Announce: o.Store,
+		Wanted: g.wanted, Agents: g.agents, Log: o.Log,
 	})
 	if err != nil {
 		cleanup()
@@ -176,9 +177,32 @@
 	}
 	if len(events) > 0 {
 		g.table.Refresh(now, g.roster.List(), g.catalogue.View())
+		g.mesh.TellWanted()
 	}
 }
 
+// wanted returns the named versions, for the agents.
+func (g *Gateway) wanted() []sharing.Wanted {
+	view := g.catalogue.View()
+	var out []sharing.Wanted
+	for _, n := range view.Named() {
+		out = append(out, sharing.Wanted{Model: n.Model, Version: n.Version, Age: time.Since(view.Wanted(n.Model).Since)})
+	}
+	return out
+}
+
+// agents returns where the agents listen: beside each engine, on its instance.
+func (g *Gateway) agents() []string {
+	var out []string
+	for _, r := range g.roster.List() {
+		host, _, err := net.SplitHostPort(r.Address)
+		if err == nil && r.Engine {
+			out = append(out, net.JoinHostPort(host, itoa(g.site.Ports[0])))
+		}
+	}
+	return out
+}
+
 // registered takes over which endpoints there are.
 func (g *Gateway) registered(b feed.Batch) {
 	now := time.Now()
--- a/internal/process/loader/loader.go
+++ b/internal/process/loader/loader.go
@@ -25,14 +25,19 @@
 
 // Times and bounds of an agent.
 const (
-	operatorWait = 15 * time.Second // a version that is named is told at once; this only bounds a call
-	lookEvery    = 250 * time.Millisecond
-	lookSoon     = 50 * time.Millisecond // while the engine loads
-	memoryPart   = 0.7                   // of the memory limit, for the heap
-	mostClients  = 64                    // connections to other agents
-	peersEvery   = 3 * time.Second       // a spread takes about that long; peers that start meanwhile find the others
-	entriesFor   = 20 * time.Second      // the list of entries may be so old; who isn't told learns it from the registration
-	heapGrowth   = 40                    // per cent, instead of 100: memory is dearer than processor time here
+	// The configuration is large and the agents are many: they read it at the
+	// start, and again when no entry has told them of versions for a while or the
+	// origin isn't where it was.
+	silentAfter = 4 * time.Second // entries tell each second, each agent by three
+	rereadLeast = 2 * time.Second
+
+	lookEvery   = 250 * time.Millisecond
+	lookSoon    = 50 * time.Millisecond // while the engine loads
+	memoryPart  = 0.7                   // of the memory limit, for the heap
+	mostClients = 64                    // connections to other agents
+	peersEvery  = 3 * time.Second       // a spread takes about that long; peers that start meanwhile find the others
+	entriesFor  = 20 * time.Second      // the list of entries may be so old; who isn't told learns it from the registration
+	heapGrowth  = 40                    // per cent, instead of 100: memory is dearer than processor time here
 )
 
 // Engine is the engine beside the agent, with its staged chunks.
@@ -67,8 +72,8 @@
 type Loader struct {
 	options   Options
 	log       *slog.Logger
+	address   string // for other processes
 	catalogue catalogue.Table
-	operator  *feed.Follower
 	server    *connection.Server
 	pool      *connection.Pool
 	origin    *origin
@@ -82,12 +87,15 @@
 	peersAt  time.Time
 	entries  []*net.UDPAddr
 	entredAt time.Time
+	heard    time.Time // when an entry last told of versions
+	read     time.Time // when the configuration was last asked for
+	moved    bool      // the origin may be elsewhere
 }
 
 // New opens the agent's listener. The returned function releases what it holds.
 func New(o Options) (*Loader, func(), error) {
-	l := &Loader{options: o, log: o.Log, shelf: &shelf{engine: o.Engine}, wake: make(chan struct{}, 1)}
 	address := net.JoinHostPort(o.Site.Host, strconv.Itoa(o.Site.Ports[0]))
+	l := &Loader{options: o, log: o.Log, address: address, shelf: &shelf{engine: o.Engine}, wake: make(chan struct{}, 1)}
 	server, closeServer, err := connection.Listen(connection.TCP{}, address)
 	if err != nil {
 		return nil, nil, err
@@ -106,12 +114,36 @@
 		cleanup()
 		return nil, nil, err
 	}
-	l.operator = feed.New(feed.Options{Name: "operator", Feed: o.Store.Operator(), Wait: operatorWait, Apply: l.operated, Log: o.Log})
 	return l, cleanup, nil
 }
 
-func (l *Loader) operated(b feed.Batch) {
-	for _, e := range l.catalogue.Apply(time.Now(), b) {
+// readOperator asks for what operators have written, when that is due.
+func (l *Loader) readOperator(ctx context.Context) {
+	now := time.Now()
+	known := l.catalogue.View().Catalogue() != nil
+	l.mu.Lock()
+	due := !known || l.moved || now.Sub(l.heard) > silentAfter
+	pause := rereadLeast
+	if known && !l.moved {
+		pause = silentAfter
+	}
+	if !known {
+		pause = rereadFirst
+	}
+	due = due && now.Sub(l.read) >= pause
+	if due {
+		l.read, l.moved = now, false
+	}
+	l.mu.Unlock()
+	if !due {
+		return
+	}
+	changes, _, err := l.options.Store.Operator().Newest(ctx)
+	if err != nil {
+		l.log.Warn("configuration not read", "err", err)
+		return
+	}
+	for _, e := range l.catalogue.Apply(time.Now(), feed.Batch{Changes: changes, Whole: true}) {
 		l.log.Info("in force", "what", e.What, "name", e.Name, "version", e.Version)
 	}
 	if c := l.catalogue.View().Catalogue(); c != nil && c.Origin() != nil {
@@ -119,6 +151,31 @@
 	}
 }
 
+// rereadFirst is the pause between two reads until the first configuration.
+const rereadFirst = 300 * time.Millisecond
+
+// hear takes over which versions an entry says are named.
+func (l *Loader) hear(list []sharing.Wanted) {
+	now := time.Now()
+	l.mu.Lock()
+	l.heard = now
+	l.mu.Unlock()
+	for _, w := range list {
+		if l.catalogue.Learn(now.Add(-w.Age), fulmardeal.Naming{Model: w.Model, Version: w.Version}) {
+			l.log.Info("in force", "what", "version", "name", w.Model, "version", w.Version, "age", w.Age)
+			l.wakeUp()
+		}
+	}
+}
+
+// wakeUp makes the next look come at once.
+func (l *Loader) wakeUp() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Run works until the context ends.
 func (l *Loader) Run(ctx context.Context) error {
 	s := l.options.Site
@@ -129,7 +186,7 @@
 	l.log.Info("started", "name", s.Name, "place", s.DataCentre, "endpoint", s.Endpoint)
 	defer l.log.Info("stopped")
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return l.operator.Run(ctx) })
+	g.Go(func() error { return sharing.ListenWanted(ctx, l.address, l.hear, l.log) })
 	g.Go(func() error { return l.server.Serve() })
 	g.Go(func() error { l.look(ctx); return nil })
 	g.Go(func() error {
--- a/internal/process/loader/work.go
+++ b/internal/process/loader/work.go
@@ -89,6 +89,7 @@
 
 // step does what is due now, and reports whether something is about to happen.
 func (l *Loader) step(ctx context.Context) bool {
+	l.readOperator(ctx)
 	spec, model := l.engineSpec()
 	if spec == nil {
 		return false
@@ -133,6 +134,9 @@
 			if r.err != nil {
 				l.log.Warn("weights not fetched", "version", j.version.String(), "err", r.err)
 				j.again = now.Add(fetchPause)
+				l.mu.Lock()
+				l.moved = true
+				l.mu.Unlock()
 				continue
 			}
 			j.swarm = r.swarm
@@ -175,10 +179,7 @@
 	go func() {
 		s, err := l.fetch(ctx, j.version, serves)
 		j.done <- result{swarm: s, err: err}
-		select {
-		case l.wake <- struct{}{}:
-		default:
-		}
+		l.wakeUp()
 	}()
 }
 
--- a/internal/traffic/dispatch/waiting.go
+++ b/internal/traffic/dispatch/waiting.go
@@ -11,12 +11,12 @@
 
 // waiter is one request in line.
 type waiter struct {
-	want   *Want
-	first  time.Time // when its caller first sent it
-	start  time.Time // when it has to begin to be answered in time
-	until  time.Time // when waiting no longer pays
-	turn   chan *Endpoint
-	over   chan Refusal // it is turned away before its time is up
+	want  *Want
+	first time.Time // when its caller first sent it
+	start time.Time // when it has to begin to be answered in time
+	until time.Time // when waiting no longer pays
+	turn  chan *Endpoint
+	over  chan Refusal // it is turned away before its time is up
 }
 
 // line is the requests of one service that wait for room.
--- a/internal/traffic/sharing/mesh.go
+++ b/internal/traffic/sharing/mesh.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fulmardeal"
+	"fulmardeal/internal/fleet/membership"
 	"fulmardeal/internal/traffic/dispatch"
 )
 
@@ -27,6 +28,14 @@
 	listEvery = 10 * time.Second
 	listRetry = 300 * time.Millisecond
 
+	// wantedEvery is how often each agent is told of the named versions by each
+	// of its entries; what is new is told at once.
+	wantedEvery = time.Second
+
+	// tellers is how many entries tell one agent, so that the cost of telling
+	// doesn't grow with entries times agents, and some may be down.
+	tellers = 3
+
 	peerGone = 10 * time.Second // after such a silence an entry is told nothing until it is listed again
 )
 
@@ -42,6 +51,8 @@
 	Table    *dispatch.Table
 	Entries  fulmardeal.Feed
 	Announce Announcer
+	Wanted   func() []Wanted // versions that agents are told of
+	Agents   func() []string // where the agents beside engines listen
 	Log      *slog.Logger
 }
 
@@ -80,6 +91,7 @@
 func (m *Mesh) Run(ctx context.Context) error {
 	go m.listen()
 	go m.list(ctx)
+	go m.remind(ctx)
 	t := time.NewTimer(tellEvery)
 	defer t.Stop()
 	for round := uint64(1); ; round++ {
@@ -117,6 +129,51 @@
 	return len(to)
 }
 
+// remind tells the agents again and again which versions are named.
+func (m *Mesh) remind(ctx context.Context) {
+	t := time.NewTicker(wantedEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			m.TellWanted()
+		}
+	}
+}
+
+// TellWanted tells the agents whose entry this is which versions are named.
+func (m *Mesh) TellWanted() {
+	b := encodeWanted(m.options.Wanted()) // none is news too: it says that there is an entry to hear from
+	for _, address := range m.options.Agents() {
+		if !m.tells(address) {
+			continue
+		}
+		a, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			continue // a registration with an address of another kind
+		}
+		// A datagram that can't be sent is as good as lost: it is told again.
+		_, _ = m.conn.WriteToUDP(b, a)
+	}
+}
+
+// tells reports whether this entry is one of those that tell an agent.
+func (m *Mesh) tells(agent string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	job := "teller/" + agent
+	own := membership.Score(job, m.options.Listen)
+	before := 0
+	for key := range m.peers {
+		if membership.Score(job, key) > own {
+			before++
+		}
+	}
+	return before < tellers
+}
+
 func (m *Mesh) listen() {
 	buf := make([]byte, 64<<10)
 	for {
@@ -274,3 +331,33 @@
 	defer m.mu.Unlock()
 	return len(m.peers)
 }
+
+// ListenWanted hands on which versions the entries say are named, until the
+// context ends.
+func ListenWanted(ctx context.Context, address string, hear func([]Wanted), log *slog.Logger) error {
+	a, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return err
+	}
+	c, err := net.ListenUDP("udp4", a)
+	if err != nil {
+		return err
+	}
+	defer context.AfterFunc(ctx, func() { c.Close() })()
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := c.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil || n == 0 || buf[0] != kindWanted {
+			continue
+		}
+		list, err := decodeWanted(buf[1:n])
+		if err != nil {
+			log.Warn("datagram dropped", "from", from.String(), "err", err)
+			continue
+		}
+		hear(list)
+	}
+}
--- a/internal/traffic/sharing/message.go
+++ b/internal/traffic/sharing/message.go
@@ -16,6 +16,7 @@
 const (
 	kindNews   = 'L'
 	kindNotice = 'N'
+	kindWanted = 'W'
 )
 
 // mostDatagram is the size that fits into one packet of an ordinary link.
@@ -80,6 +81,45 @@
 	return append(b, 0)
 }
 
+// Wanted is a version of a model's weights that operators have named.
+type Wanted struct {
+	Model   string
+	Version int64
+	Age     time.Duration // since it was named
+}
+
+func encodeWanted(list []Wanted) []byte {
+	b := binary.AppendUvarint([]byte{kindWanted}, uint64(len(list)))
+	for _, w := range list {
+		b = appendText(b, w.Model)
+		b = binary.AppendUvarint(b, uint64(w.Version))
+		b = binary.AppendUvarint(b, uint64(max(0, w.Age.Milliseconds())))
+	}
+	return b
+}
+
+func decodeWanted(data []byte) ([]Wanted, error) {
+	r := reader{data: data}
+	n := r.number()
+	if n > mostDatagram {
+		r.fail("too many versions")
+	}
+	var out []Wanted
+	for range n {
+		w := Wanted{Model: r.text(), Version: int64(r.number())}
+		age := r.number()
+		if r.err == nil && (w.Version < 1 || age > mostCount) {
+			r.fail("a version is out of bounds")
+		}
+		if r.err != nil {
+			return nil, r.err
+		}
+		w.Age = time.Duration(age) * time.Millisecond
+		out = append(out, w)
+	}
+	return out, r.err
+}
+
 func appendText(b []byte, s string) []byte {
 	b = binary.AppendUvarint(b, uint64(len(s)))
 	return append(b, s...)
