traffic/dispatch: entries share a place that comes free by lot

Who gave a place back takes it again; the others share what they see free, by lot, once in a round of news; near ties are wider with more entries.

--- a/internal/traffic/dispatch/endpoint.go
+++ b/internal/traffic/dispatch/endpoint.go
@@ -8,6 +8,8 @@
 
 import (
 	"math"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"fulmardeal"
@@ -24,6 +26,8 @@
 	failWeight   = 0.15                    // of one answer in the mean share of failures
 	lagWeight    = 0.3                     // of one answer in the mean lag
 	lagHalf      = 1500 * time.Millisecond // in which a lag is half forgotten when nothing new is known
+	ownDelay     = 25 * time.Millisecond   // until others know of a place that came free: a round of news of three
+	newsDelay    = 60 * time.Millisecond   // until all entries know what one has sent: a round of news of twelve, and the way
 	coldWindow   = time.Second             // over which a cold endpoint's requests are counted
 )
 
@@ -49,7 +53,10 @@
 	full      time.Time     // it had no room; passed over until then
 	away      time.Time     // it is not what it was; passed over until then
 	coldUntil time.Time
-	sent      []time.Time // in the last second, while cold
+	sent      []time.Time // in the last second
+	freed     []time.Time // when places came free that this entry held, and nobody else knows of yet
+	quota     int         // places that this entry may take in this round of news
+	round     time.Time   // when that was drawn
 }
 
 // ID returns the endpoint's id.
@@ -144,10 +151,33 @@
 	return float64(n+1) <= max(1, e.service.ColdRate/float64(entries))
 }
 
-func (e *Endpoint) noteSent(now time.Time) {
-	if e.service.ColdRate <= 0 {
-		return
+// mayTake reports whether this entry may take one of the free places, when so
+// many entries have requests waiting for one. Whoever held a place and gave it
+// back takes it again; the others share what they see free by lot, once in each
+// round of news.
+func (e *Endpoint) mayTake(now time.Time, free, contenders int, random *rand.Rand) bool {
+	e.freed = slices.DeleteFunc(e.freed, func(t time.Time) bool { return now.Sub(t) > ownDelay })
+	if len(e.freed) > 0 || contenders <= 1 {
+		return true
+	}
+	if now.Sub(e.round) >= newsDelay {
+		e.round = now
+		e.quota = int(float64(free)/float64(contenders) + random.Float64())
 	}
+	return e.quota > 0
+}
+
+// take notes that this entry takes a place.
+func (e *Endpoint) take(now time.Time) {
+	if len(e.freed) > 0 {
+		e.freed = e.freed[1:]
+	} else if e.quota > 0 {
+		e.quota--
+	}
+	e.noteSent(now)
+}
+
+func (e *Endpoint) noteSent(now time.Time) {
 	for len(e.sent) > 0 && now.Sub(e.sent[0]) >= coldWindow {
 		e.sent = e.sent[1:]
 	}
--- a/internal/traffic/dispatch/placing.go
+++ b/internal/traffic/dispatch/placing.go
@@ -11,10 +11,10 @@
 
 // Weights of placing.
 const (
-	// tieWithin is how close two predictions are for chance to decide. It is
-	// longer than entries take to hear of each other's sends, so that they
-	// don't all pick the same engine.
-	tieWithin = 15 * time.Millisecond
+	// tieEach is, for each entry, how close two predictions are for chance to
+	// decide: the more entries place without seeing each other's sends, the more
+	// of them would pick the same engine.
+	tieEach = 4 * time.Millisecond
 
 	// failingCost is what a share of failures of 1 adds to a prediction: about
 	// the time that a repeat takes.
@@ -57,6 +57,11 @@
 	others  func(hash uint64) others
 	out     func(place string) bool
 	fresh   func(weights int64) bool // engines with these weights may still be used
+
+	// contenders is how many entries have requests waiting for room. They all
+	// turn to an engine that has some, such as one that comes back, before they
+	// hear of each other's sends.
+	contenders int
 }
 
 // serves reports whether an endpoint may get the request at all, now or as
@@ -81,7 +86,7 @@
 }
 
 // room reports whether an endpoint can begin the request at once.
-func room(f *field, e *Endpoint, w *Want) bool {
+func room(f *field, e *Endpoint, random *rand.Rand) bool {
 	now := f.now
 	if now.Before(e.full) || now.Before(e.away) || now.Before(e.loading) {
 		return false
@@ -97,7 +102,9 @@
 	if e.engine() == nil {
 		return float64(n) < float64(slots)*(1+plainQueue)
 	}
-	return n < slots // what waits in the engine is out of reach for a better order
+	// What waits in the engine is out of reach for a better order: nothing is
+	// sent beyond its slots.
+	return n < slots && (f.contenders == 0 || e.mayTake(now, slots-n, f.contenders, random))
 }
 
 // predict returns how long the request takes to its first event at an endpoint,
@@ -152,7 +159,7 @@
 			continue
 		}
 		known = true
-		if f.now.Before(e.suspect) || !room(f, e, w) {
+		if f.now.Before(e.suspect) || !room(f, e, random) {
 			continue
 		}
 		times[i] = predict(f, e, w)
@@ -160,7 +167,7 @@
 	}
 	n := 0
 	for i, e := range all {
-		if times[i] < 0 || times[i] > least+tieWithin {
+		if times[i] < 0 || times[i] > least+time.Duration(f.entries)*tieEach {
 			continue
 		}
 		n++
@@ -169,7 +176,7 @@
 		}
 	}
 	if best == nil && known {
-		best = lastResort(f, all, w)
+		best = lastResort(f, all, w, random)
 	}
 	return best, known
 }
@@ -177,7 +184,7 @@
 // lastResort picks the endpoint whose suspicion ends first when every endpoint
 // that may serve is suspected: trying one is the only way to learn of their
 // return, and to serve anything.
-func lastResort(f *field, all []*Endpoint, w *Want) *Endpoint {
+func lastResort(f *field, all []*Endpoint, w *Want, random *rand.Rand) *Endpoint {
 	var best *Endpoint
 	for _, e := range all {
 		if !serves(f, e, w) {
@@ -186,7 +193,7 @@
 		if !f.now.Before(e.suspect) {
 			return nil // it only lacks room
 		}
-		if room(f, e, w) && (best == nil || e.suspect.Before(best.suspect)) {
+		if room(f, e, random) && (best == nil || e.suspect.Before(best.suspect)) {
 			best = e
 		}
 	}
--- a/internal/traffic/dispatch/table.go
+++ b/internal/traffic/dispatch/table.go
@@ -302,9 +302,11 @@
 	first := t.memory.since(w.Sent, w.Print)
 	f := t.field(now, g)
 	x := newWaiter(now, w, first, first.Add(w.Objective-soonest(g, w)))
-	if yields(x.late(now), t.pressing(now, w.Service, g)) {
+	pressing := t.pressing(now, w.Service, g)
+	if yields(x.late(now), pressing) {
 		return nil, nil, RefusedFull
 	}
+	f.contenders = t.contenders(now, w.Service, g)
 	e, known := place(f, g.endpoints, w, t.random)
 	if e != nil {
 		expected := predict(f, e, w) - e.lagNow(now)
@@ -340,6 +342,20 @@
 	return n
 }
 
+// contenders returns how many entries have requests waiting for a service.
+func (t *Table) contenders(now time.Time, service string, g *group) int {
+	n := 0
+	if len(g.line.waiters) > 0 {
+		n = 1
+	}
+	for _, p := range t.peers {
+		if now.Sub(p.heard) <= peerSilent && p.others[lineHash(service)].running > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // lineHash stands for a service's line among the endpoints in a message.
 func lineHash(service string) uint64 { return xxhash.Sum64String("line/" + service) }
 
@@ -356,7 +372,7 @@
 func (t *Table) begin(now time.Time, e *Endpoint, w *Want) {
 	e.running++
 	e.unread += w.Prompt
-	e.noteSent(now)
+	e.take(now)
 }
 
 // placed makes a place of an endpoint that was given in line.
@@ -393,7 +409,7 @@
 	pressing := 0
 	for name, x := range t.services {
 		if x == g {
-			pressing = t.pressing(now, name, g)
+			pressing, f.contenders = t.pressing(now, name, g), t.contenders(now, name, g)
 		}
 	}
 	for _, x := range slices.Clone(g.line.waiters) {
@@ -450,6 +466,7 @@
 	p.ended = true
 	p.first()
 	p.endpoint.running--
+	p.endpoint.freed = append(p.endpoint.freed, now)
 	p.endpoint.learn(now, f)
 	g := p.group
 	if g == nil {
