traffic/sharing, process/loader: entries brief the agents, which leave the store alone

Entries now tell each agent what its engine is to serve, from which origin, and who the other agents and entries are; one datagram a second from three entries. An agent asks the store only after 4 s without a word, at random, and ever more rarely; a whole list may take 4 s.

--- a/internal/fleet/catalogue/table.go
+++ b/internal/fleet/catalogue/table.go
@@ -106,13 +106,39 @@
 	return true
 }
 
-// Named returns the newest named version of each model.
-func (v *View) Named() []fulmardeal.Naming {
-	var out []fulmardeal.Naming
-	for model, list := range v.wanted {
-		out = append(out, fulmardeal.Naming{Model: model, Version: list[len(list)-1].Version})
+// Target is what the engines of one service are to serve. It is all that an
+// agent needs of the configuration.
+type Target struct {
+	Service string
+	Model   string
+	Layers  int
+	Version int64
+	Since   time.Time // when the version was named
+	Origin  string    // address of the origin of weights
+	Place   string    // data centre of the origin
+}
+
+// Targets returns what the engines of each service are to serve.
+func (v *View) Targets() []Target {
+	if v.catalogue == nil {
+		return nil
+	}
+	var origin fulmardeal.OriginSpec
+	if o := v.catalogue.Origin(); o != nil {
+		origin = *o
+	}
+	var out []Target
+	for _, s := range v.catalogue.Services {
+		if s.Engine == nil || len(s.Engine.Models) == 0 {
+			continue
+		}
+		model := s.Engine.Models[0].Name
+		w := v.Wanted(model)
+		out = append(out, Target{
+			Service: s.Name, Model: model, Layers: s.Engine.Layers, Version: w.Version, Since: w.Since,
+			Origin: origin.Address, Place: origin.DataCentre,
+		})
 	}
-	slices.SortFunc(out, func(a, b fulmardeal.Naming) int { return cmp.Compare(a.Model, b.Model) })
 	return out
 }
 
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -96,7 +96,7 @@
 func (f *Follower) step(ctx context.Context, next fulmardeal.Offset, whole bool) (fulmardeal.Offset, bool, error) {
 	begun := f.options.Clock()
 	wait := f.options.Wait
-	if f.isDown() {
+	if f.isDown() && !whole {
 		wait = 0
 		probe, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -143,7 +144,7 @@
 	address := net.JoinHostPort(o.Site.Host, itoa(o.Site.Ports[0]))
 	mesh, closeMesh, err := sharing.NewMesh(sharing.Options{
 		Name: o.Site.Name, Listen: address, Table: g.table, Entries: o.Store.Entries(), Announce: o.Store,
-		Wanted: g.wanted, Agents: g.agents, Log: o.Log,
+		Targets: func() []catalogue.Target { return g.catalogue.View().Targets() }, Agents: g.agents, Port: uint16(o.Site.Ports[0]), Log: o.Log,
 	})
 	if err != nil {
 		cleanup()
@@ -177,27 +178,17 @@
 	}
 	if len(events) > 0 {
 		g.table.Refresh(now, g.roster.List(), g.catalogue.View())
-		g.mesh.TellWanted()
+		g.mesh.Brief()
 	}
 }
 
-// wanted returns the named versions, for the agents.
-func (g *Gateway) wanted() []sharing.Wanted {
-	view := g.catalogue.View()
-	var out []sharing.Wanted
-	for _, n := range view.Named() {
-		out = append(out, sharing.Wanted{Model: n.Model, Version: n.Version, Age: time.Since(view.Wanted(n.Model).Since)})
-	}
-	return out
-}
-
-// agents returns where the agents listen: beside each engine, on its instance.
-func (g *Gateway) agents() []string {
-	var out []string
+// agents returns the agents: there is one beside each engine, on its instance.
+func (g *Gateway) agents() []sharing.Peer {
+	var out []sharing.Peer
 	for _, r := range g.roster.List() {
-		host, _, err := net.SplitHostPort(r.Address)
-		if err == nil && r.Engine {
-			out = append(out, net.JoinHostPort(host, itoa(g.site.Ports[0])))
+		a, err := netip.ParseAddrPort(r.Address)
+		if err == nil && r.Engine && a.Addr().Is4() {
+			out = append(out, sharing.Peer{Host: a.Addr(), Place: r.DataCentre})
 		}
 	}
 	return out
--- a/internal/process/loader/loader.go
+++ b/internal/process/loader/loader.go
@@ -4,10 +4,14 @@
 package loader
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
+	"net/netip"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -17,7 +21,6 @@
 	"fulmardeal"
 	"fulmardeal/internal/fleet/catalogue"
 	"fulmardeal/internal/fleet/feed"
-	"fulmardeal/internal/fleet/roster"
 	"fulmardeal/internal/link/connection"
 	"fulmardeal/internal/traffic/sharing"
 	"fulmardeal/internal/weights/chunk"
@@ -25,11 +28,14 @@
 
 // Times and bounds of an agent.
 const (
-	// The configuration is large and the agents are many: they read it at the
-	// start, and again when no entry has told them of versions for a while or the
-	// origin isn't where it was.
-	silentAfter = 4 * time.Second // entries tell each second, each agent by three
-	rereadLeast = 2 * time.Second
+	// Entries brief each agent every second, three of them. The configuration is
+	// large and the agents are many: an agent reads it from the store only when
+	// it has heard nothing for a while, each after a while of its own.
+	silentAfter = 4 * time.Second
+	silentMost  = 32 * time.Second // pause between two reads at most: it doubles
+
+	// peerFor is how long an agent counts that no entry names any more.
+	peerFor = 4 * time.Second
 
 	lookEvery   = 250 * time.Millisecond
 	lookSoon    = 50 * time.Millisecond // while the engine loads
@@ -82,14 +88,21 @@
 	work      work
 	wake      chan struct{} // has a token when a fetch has ended
 
-	mu       sync.Mutex
-	peers    []chunk.Peer
-	peersAt  time.Time
-	entries  []*net.UDPAddr
-	entredAt time.Time
-	heard    time.Time // when an entry last told of versions
-	read     time.Time // when the configuration was last asked for
-	moved    bool      // the origin may be elsewhere
+	mu      sync.Mutex
+	target  catalogue.Target // of this agent's service
+	peers   []known
+	entries []netip.AddrPort
+	more    bool      // entries don't name all peers
+	peersAt time.Time // when the store was last asked for peers
+	heard   time.Time // when an entry was last heard
+	next    time.Time // when the store is asked for the configuration, if nothing is heard
+	pause   time.Duration
+}
+
+// known is an agent that this one has heard of.
+type known struct {
+	chunk.Peer
+	heard time.Time
 }
 
 // New opens the agent's listener. The returned function releases what it holds.
@@ -117,22 +130,21 @@
 	return l, cleanup, nil
 }
 
-// readOperator asks for what operators have written, when that is due.
+// readOperator asks the store for what operators have written, when no entry
+// tells it.
 func (l *Loader) readOperator(ctx context.Context) {
 	now := time.Now()
-	known := l.catalogue.View().Catalogue() != nil
 	l.mu.Lock()
-	due := !known || l.moved || now.Sub(l.heard) > silentAfter
-	pause := rereadLeast
-	if known && !l.moved {
-		pause = silentAfter
-	}
-	if !known {
-		pause = rereadFirst
+	if now.Sub(l.heard) < silentAfter {
+		l.pause, l.next = 0, time.Time{}
+	} else if l.next.IsZero() {
+		l.pause = silentAfter
+		l.next = now.Add(time.Duration(rand.Float64() * float64(silentAfter)))
 	}
-	due = due && now.Sub(l.read) >= pause
+	due := !l.next.IsZero() && !now.Before(l.next)
 	if due {
-		l.read, l.moved = now, false
+		l.pause = min(2*l.pause, silentMost)
+		l.next = now.Add(time.Duration((0.5 + rand.Float64()) * float64(l.pause)))
 	}
 	l.mu.Unlock()
 	if !due {
@@ -146,23 +158,49 @@
 	for _, e := range l.catalogue.Apply(time.Now(), feed.Batch{Changes: changes, Whole: true}) {
 		l.log.Info("in force", "what", e.What, "name", e.Name, "version", e.Version)
 	}
-	if c := l.catalogue.View().Catalogue(); c != nil && c.Origin() != nil {
-		l.origin.at(c.Origin().Address)
-	}
+	l.aim(l.catalogue.View().Targets())
 }
 
-// rereadFirst is the pause between two reads until the first configuration.
-const rereadFirst = 300 * time.Millisecond
-
-// hear takes over which versions an entry says are named.
-func (l *Loader) hear(list []sharing.Wanted) {
+// hear takes over what an entry tells.
+func (l *Loader) hear(f sharing.Brief) {
 	now := time.Now()
 	l.mu.Lock()
-	l.heard = now
+	l.heard, l.entries, l.more = now, f.Entries, f.More
+	for _, p := range f.Peers {
+		l.meet(now, l.peer(p.Host.String(), p.Place))
+	}
+	l.peers = slices.DeleteFunc(l.peers, func(k known) bool { return now.Sub(k.heard) > peerFor })
 	l.mu.Unlock()
-	for _, w := range list {
-		if l.catalogue.Learn(now.Add(-w.Age), fulmardeal.Naming{Model: w.Model, Version: w.Version}) {
-			l.log.Info("in force", "what", "version", "name", w.Model, "version", w.Version, "age", w.Age)
+	l.aim(f.Targets)
+}
+
+// meet notes another agent. The lock is held.
+func (l *Loader) meet(now time.Time, p chunk.Peer) {
+	i, found := slices.BinarySearchFunc(l.peers, p.Incarnation, func(k known, key string) int {
+		return cmp.Compare(k.Incarnation, key)
+	})
+	if !found {
+		l.peers = slices.Insert(l.peers, i, known{Peer: p})
+	}
+	l.peers[i].heard = now
+}
+
+// aim takes over what this agent's engine is to serve.
+func (l *Loader) aim(targets []catalogue.Target) {
+	for _, t := range targets {
+		if t.Service != l.options.Site.Service {
+			continue
+		}
+		news := l.catalogue.Learn(t.Since, fulmardeal.Naming{Model: t.Model, Version: t.Version})
+		l.mu.Lock()
+		first := l.target.Service == ""
+		l.target = t
+		l.mu.Unlock()
+		if t.Origin != "" {
+			l.origin.at(t.Origin)
+		}
+		if news || first {
+			l.log.Info("in force", "what", "version", "name", t.Model, "version", t.Version, "age", time.Since(t.Since), "origin", t.Origin)
 			l.wakeUp()
 		}
 	}
@@ -186,7 +224,7 @@
 	l.log.Info("started", "name", s.Name, "place", s.DataCentre, "endpoint", s.Endpoint)
 	defer l.log.Info("stopped")
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return sharing.ListenWanted(ctx, l.address, l.hear, l.log) })
+	g.Go(func() error { return sharing.ListenBrief(ctx, l.address, l.hear, l.log) })
 	g.Go(func() error { return l.server.Serve() })
 	g.Go(func() error { l.look(ctx); return nil })
 	g.Go(func() error {
@@ -197,33 +235,32 @@
 	return g.Wait()
 }
 
-// engineSpec returns how the engine works and the model that it serves.
-func (l *Loader) engineSpec() (*fulmardeal.EngineSpec, string) {
-	c := l.catalogue.View().Catalogue()
-	if c == nil {
-		return nil, ""
-	}
-	s := c.Service(l.options.Site.Service)
-	if s == nil || s.Engine == nil || len(s.Engine.Models) == 0 {
-		return nil, ""
-	}
-	return s.Engine, s.Engine.Models[0].Name
+// aimed returns what the engine is to serve, once that is known.
+func (l *Loader) aimed() (catalogue.Target, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.target, l.target.Service != ""
 }
 
-// Peers returns the other agents: there is one beside each engine, on the
-// engine's own instance. The list is read only while chunks are fetched.
+// Peers returns the other agents.
 func (l *Loader) Peers() []chunk.Peer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.peers
+	out := make([]chunk.Peer, 0, len(l.peers))
+	for _, k := range l.peers {
+		out = append(out, k.Peer)
+	}
+	return out
 }
 
-// refreshPeers reads the registered engines.
+// refreshPeers reads the registered engines, when the entries don't name all
+// agents or aren't heard.
 func (l *Loader) refreshPeers(ctx context.Context) {
 	l.mu.Lock()
-	due := time.Since(l.peersAt) >= peersEvery
+	now := time.Now()
+	due := (l.more || now.Sub(l.heard) > silentAfter) && now.Sub(l.peersAt) >= peersEvery
 	if due {
-		l.peersAt = time.Now()
+		l.peersAt = now
 	}
 	l.mu.Unlock()
 	if !due {
@@ -234,27 +271,19 @@
 		l.log.Warn("agents not listed", "err", err)
 		return
 	}
-	var list roster.Roster
-	list.Apply(time.Now(), feed.Batch{Changes: changes, Whole: true})
-	var peers []chunk.Peer
-	for _, r := range list.List() {
-		if r.Service != l.options.Site.Service {
-			continue
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range changes {
+		if r := c.Registration; r != nil && r.Service == l.options.Site.Service {
+			if host, _, err := net.SplitHostPort(r.Address); err == nil {
+				l.meet(now, l.peer(host, r.DataCentre))
+			}
 		}
-		peers = append(peers, l.peer(r.Address, r.DataCentre))
 	}
-	l.mu.Lock()
-	l.peers = peers
-	l.mu.Unlock()
 }
 
-// peer describes the agent beside an engine. Agents are told apart by their
-// instance.
-func (l *Loader) peer(engine, place string) chunk.Peer {
-	host, _, err := net.SplitHostPort(engine)
-	if err != nil {
-		host = engine
-	}
+// peer describes the agent on an instance. Agents are told apart by that.
+func (l *Loader) peer(host, place string) chunk.Peer {
 	return chunk.Peer{
 		Incarnation: host,
 		Name:        host,
@@ -265,26 +294,15 @@
 
 // self describes this agent.
 func (l *Loader) self() chunk.Peer {
-	return l.peer(l.options.Site.Endpoint, l.options.Site.DataCentre)
+	return l.peer(l.options.Site.Host, l.options.Site.DataCentre)
 }
 
 // tell says to the entries what the engine serves. It is said twice, since
 // datagrams get lost; the registration says the same a little later.
-func (l *Loader) tell(ctx context.Context, weights int64, loading bool) {
+func (l *Loader) tell(weights int64, loading bool) {
 	l.mu.Lock()
-	entries, old := l.entries, time.Since(l.entredAt) > entriesFor
+	entries := l.entries
 	l.mu.Unlock()
-	if old {
-		fresh, err := sharing.Addresses(ctx, l.options.Store.Entries())
-		if err != nil {
-			l.log.Warn("entries not listed", "err", err)
-		} else {
-			l.mu.Lock()
-			l.entries, l.entredAt = fresh, time.Now()
-			l.mu.Unlock()
-			entries = fresh
-		}
-	}
 	n := sharing.Notice{Address: l.options.Site.Endpoint, Weights: weights, Loading: loading}
 	for range 2 {
 		if err := sharing.Tell(n, entries); err != nil {
--- a/internal/process/loader/work.go
+++ b/internal/process/loader/work.go
@@ -90,18 +90,19 @@
 // step does what is due now, and reports whether something is about to happen.
 func (l *Loader) step(ctx context.Context) bool {
 	l.readOperator(ctx)
-	spec, model := l.engineSpec()
-	if spec == nil {
+	target, known := l.aimed()
+	if !known {
 		return false
 	}
+	model := target.Model
 	state, err := l.options.Engine.State(ctx)
 	if err != nil {
 		l.log.Warn("engine silent", "err", err)
 		return false
 	}
 	wanted := l.catalogue.View().Wanted(model)
-	held := fulmardeal.Holds(state.Spans, spec.Layers)
-	l.announce(ctx, held, state.Loading)
+	held := fulmardeal.Holds(state.Spans, target.Layers)
+	l.announce(held, state.Loading)
 	l.collect()
 	l.want(ctx, model, wanted.Version, held)
 	if held == wanted.Version {
@@ -114,7 +115,7 @@
 }
 
 // announce tells the entries when what the engine serves has changed.
-func (l *Loader) announce(ctx context.Context, held int64, loading bool) {
+func (l *Loader) announce(held int64, loading bool) {
 	w := &l.work
 	if held != w.told || loading != w.telling {
 		l.log.Info("engine", "weights", held, "loading", loading, "ordered", w.ordered)
@@ -122,7 +123,7 @@
 		return
 	}
 	w.told, w.telling, w.toldAt = held, loading, time.Now()
-	l.tell(ctx, held, loading)
+	l.tell(held, loading)
 }
 
 // collect takes over the fetches that have ended.
@@ -134,9 +135,6 @@
 			if r.err != nil {
 				l.log.Warn("weights not fetched", "version", j.version.String(), "err", r.err)
 				j.again = now.Add(fetchPause)
-				l.mu.Lock()
-				l.moved = true
-				l.mu.Unlock()
 				continue
 			}
 			j.swarm = r.swarm
@@ -219,11 +217,8 @@
 
 // home returns the origin's region.
 func (l *Loader) home() string {
-	c := l.catalogue.View().Catalogue()
-	if c == nil || c.Origin() == nil {
-		return ""
-	}
-	return l.options.Site.Regions[c.Origin().DataCentre]
+	target, _ := l.aimed()
+	return l.options.Site.Regions[target.Place]
 }
 
 // activate orders the engine to load the newest version that is here whole,
@@ -246,7 +241,7 @@
 	if held != 0 && time.Now().Before(l.turn(model, held)) {
 		return true
 	}
-	l.tell(ctx, held, true)
+	l.tell(held, true)
 	w.telling = true
 	pause(ctx, noticeLead)
 	if err := l.shelf.stage(ctx, best.version); err != nil {
--- a/internal/traffic/sharing/mesh.go
+++ b/internal/traffic/sharing/mesh.go
@@ -5,10 +5,12 @@
 	"errors"
 	"log/slog"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
 	"fulmardeal"
+	"fulmardeal/internal/fleet/catalogue"
 	"fulmardeal/internal/fleet/membership"
 	"fulmardeal/internal/traffic/dispatch"
 )
@@ -28,9 +30,9 @@
 	listEvery = 10 * time.Second
 	listRetry = 300 * time.Millisecond
 
-	// wantedEvery is how often each agent is told of the named versions by each
-	// of its entries; what is new is told at once.
-	wantedEvery = time.Second
+	// briefEvery is how often each agent is briefed by each of its entries; of a
+	// new version it hears at once.
+	briefEvery = time.Second
 
 	// tellers is how many entries tell one agent, so that the cost of telling
 	// doesn't grow with entries times agents, and some may be down.
@@ -51,8 +53,9 @@
 	Table    *dispatch.Table
 	Entries  fulmardeal.Feed
 	Announce Announcer
-	Wanted   func() []Wanted // versions that agents are told of
-	Agents   func() []string // where the agents beside engines listen
+	Targets  func() []catalogue.Target
+	Agents   func() []Peer // the agents, each beside its engine
+	Port     uint16        // where agents listen
 	Log      *slog.Logger
 }
 
@@ -129,34 +132,46 @@
 	return len(to)
 }
 
-// remind tells the agents again and again which versions are named.
+// remind briefs the agents again and again.
 func (m *Mesh) remind(ctx context.Context) {
-	t := time.NewTicker(wantedEvery)
+	t := time.NewTicker(briefEvery)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			m.TellWanted()
+			m.Brief()
 		}
 	}
 }
 
-// TellWanted tells the agents whose entry this is which versions are named.
-func (m *Mesh) TellWanted() {
-	b := encodeWanted(m.options.Wanted()) // none is news too: it says that there is an entry to hear from
-	for _, address := range m.options.Agents() {
-		if !m.tells(address) {
+// Brief tells the agents whose entry this is what they need to know.
+func (m *Mesh) Brief() {
+	agents := m.options.Agents()
+	b := encodeBrief(time.Now(), Brief{Targets: m.options.Targets(), Entries: m.entries(), Peers: agents})
+	for _, p := range agents {
+		if !m.tells(p.Host.String()) {
 			continue
 		}
-		a, err := net.ResolveUDPAddr("udp4", address)
-		if err != nil {
-			continue // a registration with an address of another kind
-		}
 		// A datagram that can't be sent is as good as lost: it is told again.
-		_, _ = m.conn.WriteToUDP(b, a)
+		_, _ = m.conn.WriteToUDPAddrPort(b, netip.AddrPortFrom(p.Host, m.options.Port))
+	}
+}
+
+// entries returns where the entries listen, this one too.
+func (m *Mesh) entries() []netip.AddrPort {
+	var out []netip.AddrPort
+	if own, err := netip.ParseAddrPort(m.options.Listen); err == nil {
+		out = append(out, own)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		a := p.address.AddrPort()
+		out = append(out, netip.AddrPortFrom(a.Addr().Unmap(), a.Port()))
 	}
+	return out
 }
 
 // tells reports whether this entry is one of those that tell an agent.
@@ -309,7 +324,7 @@
 }
 
 // Tell sends a notice about an engine to the entries.
-func Tell(n Notice, entries []*net.UDPAddr) error {
+func Tell(n Notice, entries []netip.AddrPort) error {
 	c, err := net.ListenUDP("udp4", nil)
 	if err != nil {
 		return err
@@ -318,7 +333,7 @@
 	b := encodeNotice(n)
 	var all error
 	for _, a := range entries {
-		if _, err := c.WriteToUDP(b, a); err != nil {
+		if _, err := c.WriteToUDPAddrPort(b, a); err != nil {
 			all = errors.Join(all, err)
 		}
 	}
@@ -332,9 +347,8 @@
 	return len(m.peers)
 }
 
-// ListenWanted hands on which versions the entries say are named, until the
-// context ends.
-func ListenWanted(ctx context.Context, address string, hear func([]Wanted), log *slog.Logger) error {
+// ListenBrief hands on what the entries tell an agent, until the context ends.
+func ListenBrief(ctx context.Context, address string, hear func(Brief), log *slog.Logger) error {
 	a, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return err
@@ -350,14 +364,14 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		if err != nil || n == 0 || buf[0] != kindWanted {
+		if err != nil || n == 0 || buf[0] != kindBrief {
 			continue
 		}
-		list, err := decodeWanted(buf[1:n])
+		brief, err := decodeBrief(time.Now(), buf[1:n])
 		if err != nil {
 			log.Warn("datagram dropped", "from", from.String(), "err", err)
 			continue
 		}
-		hear(list)
+		hear(brief)
 	}
 }
--- a/internal/traffic/sharing/message.go
+++ b/internal/traffic/sharing/message.go
@@ -7,8 +7,11 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"net/netip"
+	"slices"
 	"time"
 
+	"fulmardeal/internal/fleet/catalogue"
 	"fulmardeal/internal/traffic/dispatch"
 )
 
@@ -16,7 +19,7 @@
 const (
 	kindNews   = 'L'
 	kindNotice = 'N'
-	kindWanted = 'W'
+	kindBrief  = 'B'
 )
 
 // mostDatagram is the size that fits into one packet of an ordinary link.
@@ -81,43 +84,113 @@
 	return append(b, 0)
 }
 
-// Wanted is a version of a model's weights that operators have named.
-type Wanted struct {
-	Model   string
-	Version int64
-	Age     time.Duration // since it was named
+// Peer is an agent as entries know it.
+type Peer struct {
+	Host  netip.Addr // of its instance
+	Place string     // data centre
 }
 
-func encodeWanted(list []Wanted) []byte {
-	b := binary.AppendUvarint([]byte{kindWanted}, uint64(len(list)))
-	for _, w := range list {
-		b = appendText(b, w.Model)
-		b = binary.AppendUvarint(b, uint64(w.Version))
-		b = binary.AppendUvarint(b, uint64(max(0, w.Age.Milliseconds())))
+// Brief is what entries tell the agents again and again, so that those need not
+// ask the store.
+type Brief struct {
+	Targets []catalogue.Target
+	Entries []netip.AddrPort // where the entries listen
+	Peers   []Peer
+	More    bool // there are more peers than fit; the store lists them
+}
+
+// mostPeers is how many peers one datagram holds beside the rest.
+const mostPeers = 180
+
+// encodeBrief leaves out peers that don't fit.
+func encodeBrief(now time.Time, f Brief) []byte {
+	b := binary.AppendUvarint([]byte{kindBrief}, uint64(len(f.Targets)))
+	for _, t := range f.Targets {
+		b = appendText(b, t.Service)
+		b = appendText(b, t.Model)
+		b = binary.AppendUvarint(b, uint64(t.Layers))
+		b = binary.AppendUvarint(b, uint64(t.Version))
+		age := time.Duration(0)
+		if !t.Since.IsZero() {
+			age = max(0, now.Sub(t.Since))
+		}
+		b = binary.AppendUvarint(b, uint64(age.Milliseconds()))
+		b = appendText(b, t.Origin)
+		b = appendText(b, t.Place)
+	}
+	b = binary.AppendUvarint(b, uint64(len(f.Entries)))
+	for _, a := range f.Entries {
+		ip := a.Addr().As4()
+		b = binary.BigEndian.AppendUint16(append(b, ip[:]...), a.Port())
+	}
+	var places []string
+	for _, p := range f.Peers {
+		if !slices.Contains(places, p.Place) {
+			places = append(places, p.Place)
+		}
+	}
+	b = binary.AppendUvarint(b, uint64(len(places)))
+	for _, p := range places {
+		b = appendText(b, p)
+	}
+	peers := f.Peers[:min(len(f.Peers), mostPeers)]
+	more := byte(0)
+	if len(peers) < len(f.Peers) {
+		more = 1
+	}
+	b = append(b, more)
+	b = binary.AppendUvarint(b, uint64(len(peers)))
+	for _, p := range peers {
+		ip := p.Host.As4()
+		b = append(append(b, ip[:]...), byte(slices.Index(places, p.Place)))
 	}
 	return b
 }
 
-func decodeWanted(data []byte) ([]Wanted, error) {
+// mostListed bounds the lists of a brief; more is a fault.
+const mostListed = 1 << 12
+
+func decodeBrief(now time.Time, data []byte) (Brief, error) {
 	r := reader{data: data}
-	n := r.number()
-	if n > mostDatagram {
-		r.fail("too many versions")
-	}
-	var out []Wanted
-	for range n {
-		w := Wanted{Model: r.text(), Version: int64(r.number())}
+	var f Brief
+	for range r.count() {
+		t := catalogue.Target{Service: r.text(), Model: r.text(), Layers: int(r.number()), Version: int64(r.number())}
 		age := r.number()
-		if r.err == nil && (w.Version < 1 || age > mostCount) {
-			r.fail("a version is out of bounds")
+		t.Origin, t.Place = r.text(), r.text()
+		if r.err == nil && (t.Version < 1 || t.Layers < 0 || t.Layers > mostCount || age > mostCount) {
+			r.fail("a target is out of bounds")
+		}
+		if r.err != nil {
+			return Brief{}, r.err
 		}
+		t.Since = now.Add(-time.Duration(age) * time.Millisecond)
+		f.Targets = append(f.Targets, t)
+	}
+	for range r.count() {
+		ip, port := r.bytes(4), r.bytes(2)
 		if r.err != nil {
-			return nil, r.err
+			return Brief{}, r.err
 		}
-		w.Age = time.Duration(age) * time.Millisecond
-		out = append(out, w)
+		f.Entries = append(f.Entries, netip.AddrPortFrom(netip.AddrFrom4([4]byte(ip)), binary.BigEndian.Uint16(port)))
 	}
-	return out, r.err
+	var places []string
+	for range r.count() {
+		places = append(places, r.text())
+	}
+	if more := r.bytes(1); r.err == nil {
+		f.More = more[0] == 1
+	}
+	for range r.count() {
+		ip, place := r.bytes(4), r.bytes(1)
+		if r.err == nil && int(place[0]) >= len(places) {
+			r.fail("a data centre isn't listed")
+		}
+		if r.err != nil {
+			return Brief{}, r.err
+		}
+		f.Peers = append(f.Peers, Peer{Host: netip.AddrFrom4([4]byte(ip)), Place: places[place[0]]})
+	}
+	return f, r.err
 }
 
 func appendText(b []byte, s string) []byte {
@@ -159,14 +232,32 @@
 	return s
 }
 
+func (r *reader) bytes(n int) []byte {
+	if n > len(r.data) {
+		r.fail("it ends early")
+		return nil
+	}
+	b := r.data[:n]
+	r.data = r.data[n:]
+	return b
+}
+
 func (r *reader) hash() uint64 {
-	if len(r.data) < 8 {
-		r.fail("it ends within a hash")
+	b := r.bytes(8)
+	if b == nil {
 		return 0
 	}
-	v := binary.BigEndian.Uint64(r.data)
-	r.data = r.data[8:]
-	return v
+	return binary.BigEndian.Uint64(b)
+}
+
+// count reads the length of a list.
+func (r *reader) count() uint64 {
+	n := r.number()
+	if n > mostListed {
+		r.fail("a list is too long")
+		return 0
+	}
+	return n
 }
 
 // newsPart is one datagram of an entry's news.
