process/gateway, traffic/forward, process/logbook: tests of the whole request path

Against endpoints that hang up, are full, answer for another request, unsigned, cut or in mid-event; each answer and each connection afterwards from a data file. Keys that can't be confirmed, callers that leave, route times, leaving.

traffic/dispatch: an engine gets no more prompts than it reads in 250 ms.

--- /dev/null
+++ b/internal/process/gateway/gateway_test.go
@@ -0,0 +1,515 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/process/gateway"
+	"fulmardeal/platform"
+)
+
+// memory is a store in memory that can fall silent.
+type memory struct {
+	mu      sync.Mutex
+	silent  bool
+	records map[string][]fulmardeal.Change // by topic
+}
+
+func (m *memory) put(topic string, c fulmardeal.Change) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c.Offset = fulmardeal.Offset(len(m.records[topic]))
+	m.records[topic] = append(m.records[topic], c)
+}
+
+func (m *memory) silence() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.silent = true
+}
+
+// topic is one feed of the store.
+type topic struct {
+	memory *memory
+	name   string
+}
+
+func (f topic) Newest(ctx context.Context) ([]fulmardeal.Change, fulmardeal.Offset, error) {
+	return f.Since(ctx, 0, 0)
+}
+
+func (f topic) Since(ctx context.Context, from fulmardeal.Offset, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Offset, error) {
+	until := time.Now().Add(wait)
+	for {
+		f.memory.mu.Lock()
+		silent, all := f.memory.silent, f.memory.records[f.name]
+		f.memory.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
+		if len(all) > int(from) || time.Now().After(until) {
+			return all[min(int(from), len(all)):], fulmardeal.Offset(len(all)), nil
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (m *memory) Operator() fulmardeal.Feed                      { return topic{m, "operator"} }
+func (m *memory) Registrations() fulmardeal.Feed                 { return topic{m, "registrations"} }
+func (m *memory) Entries() fulmardeal.Feed                       { return topic{m, "entries"} }
+func (m *memory) Announce(context.Context, string, string) error { return nil }
+
+// world is a gateway with its store and endpoints.
+type world struct {
+	t       *testing.T
+	memory  *memory
+	address string
+	stop    context.CancelFunc
+	done    chan error
+	seen    sync.Map // requests at endpoints: attempt id to count
+}
+
+// endpoint starts an endpoint of a service, which checks what each must.
+func (w *world) endpoint(id, service, place string, serve func(http.ResponseWriter, *http.Request)) {
+	s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Fulmardeal-Expect-Instance") != id {
+			rw.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		if r.Header.Get("Authorization") != "" {
+			w.t.Error("the key was passed on")
+		}
+		attempt := r.Header.Get("X-Fulmardeal-Attempt-Id")
+		n, _ := w.seen.LoadOrStore(attempt, new(int))
+		*n.(*int)++
+		rw.Header().Set("X-Fulmardeal-Attempt-Id", attempt)
+		rw.Header().Set("X-Fulmardeal-Response-Stamp", "by-"+id)
+		serve(rw, r)
+	}))
+	w.t.Cleanup(s.Close)
+	w.register(fulmardeal.Registration{ID: id, Service: service, Address: s.Listener.Addr().String(), DataCentre: place, Slots: 4})
+}
+
+func (w *world) register(r fulmardeal.Registration) {
+	w.memory.put("registrations", fulmardeal.Change{Key: r.ID, Registration: &r})
+}
+
+func (w *world) configure(c fulmardeal.Catalogue) {
+	w.memory.put("operator", fulmardeal.Change{Key: "config", Catalogue: &c})
+}
+
+// catalogue has a route of each kind.
+func catalogue(version int64) fulmardeal.Catalogue {
+	share := []fulmardeal.Share{{Service: "shop", Weight: 1}}
+	return fulmardeal.Catalogue{
+		Version: version,
+		Routes: []fulmardeal.Route{
+			{Name: "read", Host: "h", Prefix: "/read/", Kind: fulmardeal.KindIdempotent, Timeout: time.Second, Objective: 300 * time.Millisecond, Shares: share, Attempts: 2},
+			{Name: "order", Host: "h", Prefix: "/order/", Kind: fulmardeal.KindOnce, Timeout: time.Second, Objective: 300 * time.Millisecond, Shares: share, Attempts: 1},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: fulmardeal.KindStream, Timeout: 3 * time.Second, Objective: 300 * time.Millisecond, Pause: 300 * time.Millisecond, Shares: share, Attempts: 2, Resumable: true},
+			{Name: "home", Host: "h", Prefix: "/home/", Kind: fulmardeal.KindIdempotent, Timeout: time.Second, Shares: share, Attempts: 2, Homes: []string{"north"}},
+		},
+		Services:  []fulmardeal.Service{{Name: "shop", Connections: 10}},
+		Customers: []fulmardeal.Customer{{Name: "bahar", Keys: []string{"k1"}}},
+		Limits:    fulmardeal.Limits{Body: 1000},
+	}
+}
+
+// ports hands out ranges of ports that nothing else listens on.
+func ports(t *testing.T) [2]int {
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	p := c.LocalAddr().(*net.UDPAddr).Port
+	return [2]int{p, p}
+}
+
+func start(t *testing.T, build func(w *world)) *world {
+	t.Helper()
+	w := &world{t: t, memory: &memory{records: make(map[string][]fulmardeal.Change)}, done: make(chan error, 1)}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.address = l.Addr().String()
+	l.Close()
+	w.configure(catalogue(1))
+	build(w)
+	site := fulmardeal.Site{
+		Name: "front-1", Host: "127.0.0.1", DataCentre: "a", Region: "south", Regions: map[string]string{"a": "south", "b": "north"},
+		Callers: w.address, Readiness: "127.0.0.1:0", Ports: ports(t),
+		Bounds: fulmardeal.Bounds{
+			Drain: 300 * time.Millisecond, Grace: 5 * time.Second, Revoke: 2500 * time.Millisecond, Weights: 8 * time.Second,
+			RepeatRatio: 0.2, RepeatExtra: 100, RepeatEvery: 10 * time.Second, ColdOver: 1,
+		},
+	}
+	g, cleanup, err := gateway.New(gateway.Options{Site: site, Store: w.memory, Codec: platform.Codec{}, Log: slog.New(slog.DiscardHandler), Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop = cancel
+	go func() { w.done <- g.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		cleanup()
+	})
+	for range 200 { // until the first feeds have been read
+		if a := w.call("GET", "/none/", nil); a.status == http.StatusNotFound {
+			time.Sleep(250 * time.Millisecond) // two reads of the registrations
+			return w
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the gateway doesn't come up")
+	return nil
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error // the body isn't whole
+	id     string
+}
+
+var attempts struct {
+	sync.Mutex
+	n int
+}
+
+func (w *world) call(method, path string, change func(r *http.Request)) answer {
+	attempts.Lock()
+	attempts.n++
+	id := fmt.Sprintf("%08x", attempts.n)
+	attempts.Unlock()
+	r, err := http.NewRequest(method, "http://"+w.address+path, strings.NewReader("body"))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("X-Fulmardeal-Attempt-Id", id)
+	r.Header.Set("X-Fulmardeal-Deadline-Ms", "2000")
+	r.Header.Set("Authorization", "Token k1")
+	if change != nil {
+		change(r)
+	}
+	a, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return answer{err: err, id: id}
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	return answer{status: a.StatusCode, body: string(body), header: a.Header, err: err, id: id}
+}
+
+// runs returns how many endpoints have seen an attempt.
+func (w *world) runs(id string) int {
+	n, seen := w.seen.Load(id)
+	if !seen {
+		return 0
+	}
+	return *n.(*int)
+}
+
+// hangUp closes the connection of a request without an answer.
+func hangUp(rw http.ResponseWriter, _ *http.Request) {
+	c, _, err := rw.(http.Hijacker).Hijack()
+	if err == nil {
+		c.Close()
+	}
+}
+
+func TestServes(t *testing.T) {
+	w := start(t, func(w *world) {
+		w.endpoint("i-1", "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			fmt.Fprintf(rw, "%s %s %s for %s", r.Method, r.RequestURI, body, r.Header.Get("X-Fulmardeal-Tenant"))
+		})
+	})
+	a := w.call("POST", "/order//x/?q=%2F", nil)
+	if a.status != 200 || a.body != "POST /order//x/?q=%2F body for bahar" || a.header.Get("X-Fulmardeal-Response-Stamp") != "by-i-1" {
+		t.Errorf("%+v", a)
+	}
+	for _, c := range []struct {
+		path   string
+		change func(r *http.Request)
+		want   int
+	}{
+		{"/order/", func(r *http.Request) { r.Header.Set("Authorization", "Token other") }, 401},
+		{"/order/", func(r *http.Request) { r.Header.Del("Authorization") }, 401},
+		{"/nowhere/", nil, 404},
+		{"/order/", func(r *http.Request) { r.Host = "other" }, 404},
+		{"/order/", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 1001))), 1001
+		}, 413},
+		{"/home/", nil, 503}, // no endpoint in its home region
+	} {
+		if a := w.call("POST", c.path, c.change); a.status != c.want || w.runs(a.id) != 0 {
+			t.Errorf("%s: status %d, want %d; run %d times", c.path, a.status, c.want, w.runs(a.id))
+		}
+	}
+	if a := w.call("POST", "/home/", nil); a.header.Get("Retry-After") == "" {
+		t.Error("a refusal doesn't say when to come back")
+	}
+}
+
+// What may have run is never run again, and never said not to have.
+func TestOrderRunsOnce(t *testing.T) {
+	w := start(t, func(w *world) {
+		for _, id := range []string{"i-1", "i-2"} {
+			w.endpoint(id, "shop", "a", hangUp)
+		}
+	})
+	for range 5 {
+		a := w.call("POST", "/order/", nil)
+		if a.status != http.StatusBadGateway || w.runs(a.id) != 1 {
+			t.Errorf("status %d, seen %d times; want 502 and once", a.status, w.runs(a.id))
+		}
+	}
+}
+
+// What has not run may go elsewhere; so may what is idempotent.
+func TestRepeats(t *testing.T) {
+	full := func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("X-Fulmardeal-Not-Run", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}
+	ok := func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "ok") }
+	for name, bad := range map[string]func(http.ResponseWriter, *http.Request){"full": full, "hang up": hangUp, "failure": func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(500) }} {
+		t.Run(name, func(t *testing.T) {
+			w := start(t, func(w *world) {
+				w.endpoint("i-1", "shop", "a", bad)
+				w.endpoint("i-2", "shop", "a", ok)
+			})
+			for range 6 {
+				if a := w.call("GET", "/read/", nil); a.status != 200 || a.body != "ok" {
+					t.Errorf("%+v", a)
+				}
+			}
+		})
+	}
+}
+
+// An answer that isn't the endpoint's whole answer to this request reaches no
+// caller as a success.
+func TestWrongAnswers(t *testing.T) {
+	for name, serve := range map[string]func(rw http.ResponseWriter, r *http.Request){
+		"foreign id": func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set("X-Fulmardeal-Attempt-Id", "another")
+			_, _ = io.WriteString(rw, "secret")
+		},
+		"unsigned": func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Del("X-Fulmardeal-Response-Stamp")
+			_, _ = io.WriteString(rw, "secret")
+		},
+		"cut": func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set("Content-Length", "50")
+			_, _ = io.WriteString(rw, "secret")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := start(t, func(w *world) { w.endpoint("i-1", "shop", "a", serve) })
+			if a := w.call("POST", "/order/", nil); a.status != 502 || strings.Contains(a.body, "secret") {
+				t.Errorf("%+v", a)
+			}
+		})
+	}
+}
+
+// events writes the events of a stream from one id to another, then breaks off
+// in mid-event unless it is the last.
+func events(rw http.ResponseWriter, from, to, last int) {
+	rw.Header().Set("Content-Type", "text/event-stream")
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(rw, "id: %d\ndata: e%d\n\n", i, i)
+		_ = http.NewResponseController(rw).Flush()
+		time.Sleep(time.Millisecond)
+	}
+	if to < last {
+		fmt.Fprintf(rw, "id: %d\nda", to+1)
+		_ = http.NewResponseController(rw).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// A stream that breaks off goes on at another endpoint: each event once, in
+// order, with the head of the first.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	w := start(t, func(w *world) {
+		for _, id := range []string{"i-1", "i-2"} {
+			w.endpoint(id, "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
+				after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+				if after == 0 {
+					events(rw, 1, 4, 9)
+				}
+				events(rw, after+1, 9, 9)
+			})
+		}
+	})
+	want := ""
+	for i := 1; i <= 9; i++ {
+		want += fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+	}
+	for range 3 {
+		if a := w.call("POST", "/stream/", nil); a.err != nil || a.body != want || a.header.Get("X-Fulmardeal-Response-Stamp") == "" || w.runs(a.id) != 2 {
+			t.Errorf("%d runs, %v: %q", w.runs(a.id), a.err, a.body)
+		}
+	}
+}
+
+// A stream that can't go on doesn't look whole.
+func TestBrokenStreamLooksBroken(t *testing.T) {
+	w := start(t, func(w *world) {
+		w.endpoint("i-1", "shop", "a", func(rw http.ResponseWriter, _ *http.Request) { events(rw, 1, 4, 9) })
+	})
+	a := w.call("POST", "/stream/", nil)
+	if a.err == nil || !strings.Contains(a.body, "e4") || strings.Contains(a.body, "id: 5") {
+		t.Errorf("%v: %q", a.err, a.body)
+	}
+}
+
+// A caller that leaves stops its work at the endpoint within half a second.
+func TestCallerLeaves(t *testing.T) {
+	stopped := make(chan time.Time, 1)
+	w := start(t, func(w *world) {
+		w.endpoint("i-1", "shop", "a", func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			<-r.Context().Done()
+			stopped <- time.Now()
+		})
+	})
+	left := time.Now().Add(100 * time.Millisecond)
+	w.call("POST", "/order/", func(r *http.Request) {
+		ctx, cancel := context.WithDeadline(r.Context(), left)
+		t.Cleanup(cancel)
+		*r = *r.WithContext(ctx)
+	})
+	select {
+	case at := <-stopped:
+		if at.Sub(left) > 500*time.Millisecond {
+			t.Errorf("stopped %v after the caller left", at.Sub(left))
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("the endpoint still works")
+	}
+}
+
+// A route's time is kept: the caller has its final answer then.
+func TestTimeout(t *testing.T) {
+	w := start(t, func(w *world) {
+		w.endpoint("i-1", "shop", "a", func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body) // the library sees a caller leave only then
+			<-r.Context().Done()
+		})
+	})
+	begun := time.Now()
+	a := w.call("POST", "/order/", nil)
+	if took := time.Since(begun); a.status != http.StatusGatewayTimeout || took < 900*time.Millisecond || took > 1500*time.Millisecond {
+		t.Errorf("status %d after %v, want 504 after 1 s", a.status, took)
+	}
+}
+
+func TestChangesTakeEffect(t *testing.T) {
+	ok := func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "ok") }
+	w := start(t, func(w *world) { w.endpoint("i-1", "shop", "a", ok) })
+	until := func(what string, holds func() bool) {
+		t.Helper()
+		for range 200 {
+			if holds() {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Errorf("%s: no effect within 2 s", what)
+	}
+	status := func() int { return w.call("POST", "/order/", nil).status }
+	if s := status(); s != 200 {
+		t.Fatalf("status %d", s)
+	}
+	w.memory.put("operator", fulmardeal.Change{Key: "evacuate/a", Evacuation: "a"})
+	until("a data centre is out", func() bool { return status() == 503 })
+	w.memory.put("operator", fulmardeal.Change{Key: "evacuate/a", Gone: true})
+	until("a data centre is back", func() bool { return status() == 200 })
+	c := catalogue(2)
+	c.Customers[0].Keys = []string{"k2"}
+	w.configure(c)
+	until("a key is removed", func() bool { return status() == 401 })
+	c = catalogue(3)
+	w.configure(c)
+	until("a key is added", func() bool { return status() == 200 })
+	w.register(fulmardeal.Registration{ID: "i-1", Service: "shop", Address: "127.0.0.1:1", DataCentre: "a", Draining: true, Sequence: 2})
+	until("an endpoint drains", func() bool { return status() == 503 })
+}
+
+// An entry that can't confirm its keys refuses them, with a promise, before a
+// removed key could still be used after its time; it doesn't say 401.
+func TestUnconfirmedKeysAreRefused(t *testing.T) {
+	ok := func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "ok") }
+	w := start(t, func(w *world) { w.endpoint("i-1", "shop", "a", ok) })
+	w.memory.silence()
+	silent := time.Now()
+	for time.Since(silent) < 4*time.Second {
+		a := w.call("POST", "/order/", nil)
+		sent := time.Since(silent)
+		switch a.status {
+		case 200:
+			if sent > 2500*time.Millisecond {
+				t.Fatalf("a request ran %v after the last word from the store", sent)
+			}
+		case 503:
+			if sent < 500*time.Millisecond {
+				t.Fatalf("refused after %v already", sent)
+			}
+		default:
+			t.Fatalf("status %d", a.status)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Leaving cuts nothing: requests that come meanwhile are served, and those in
+// progress end.
+func TestLeaving(t *testing.T) {
+	w := start(t, func(w *world) {
+		w.endpoint("i-1", "shop", "a", func(rw http.ResponseWriter, _ *http.Request) {
+			time.Sleep(300 * time.Millisecond)
+			_, _ = io.WriteString(rw, "ok")
+		})
+	})
+	var calls sync.WaitGroup
+	begun := time.Now()
+	w.stop()
+	for range 10 {
+		calls.Go(func() {
+			if a := w.call("POST", "/order/", nil); a.status != 200 || !strings.EqualFold(a.header.Get("Connection"), "close") && a.err != nil {
+				t.Errorf("%+v", a)
+			}
+		})
+		time.Sleep(150 * time.Millisecond)
+	}
+	calls.Wait()
+	select {
+	case err := <-w.done:
+		if err != nil || time.Since(begun) > 5*time.Second {
+			t.Errorf("stopped after %v: %v", time.Since(begun), err)
+		}
+	case <-time.After(6 * time.Second):
+		t.Error("still running after its grace")
+	}
+}
--- /dev/null
+++ b/internal/process/logbook/logbook_test.go
@@ -0,0 +1,95 @@
+package logbook
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// stuck is a writer that stops reading.
+type stuck struct{ wait chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.wait
+	return len(p), nil
+}
+
+func TestLoggingNeverBlocks(t *testing.T) {
+	w := stuck{wait: make(chan struct{})}
+	log, book, cleanup := New(w, slog.LevelInfo)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 40 * queueLength {
+			log.Info(strings.Repeat("x", i%997)) // many kinds, so that no rate holds them back
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("logging blocks while nobody reads")
+	}
+	if book.Lost() == 0 {
+		t.Error("no line is counted as lost")
+	}
+	close(w.wait)
+	cleanup()
+}
+
+func TestLinesBeyondTheRateAreCounted(t *testing.T) {
+	var out safe
+	log, _, cleanup := New(&out, slog.LevelInfo)
+	for range 10 * kindRate {
+		log.Info("served")
+	}
+	log.Warn("failed")
+	time.Sleep(1100 * time.Millisecond)
+	log.Info("later")
+	cleanup()
+	text := out.String()
+	n := strings.Count(text, "msg=served")
+	if n < kindRate || n > 2*kindRate {
+		t.Errorf("%d lines written, want about %d", n, kindRate)
+	}
+	if !strings.Contains(text, "msg=failed") {
+		t.Error("a failure is left out because of other lines")
+	}
+	if !strings.Contains(text, `msg="lines left out" lines=`) {
+		t.Error("what was left out is not said")
+	}
+}
+
+func TestLinesThatWaitAreWrittenAtTheEnd(t *testing.T) {
+	var out safe
+	log, _, cleanup := New(&out, slog.LevelWarn)
+	log.Info("no")
+	log.With("id", 7).Warn("yes")
+	cleanup()
+	if got := out.String(); !strings.Contains(got, "msg=yes id=7") || strings.Contains(got, "msg=no") {
+		t.Error(got)
+	}
+}
+
+// safe is a buffer that two goroutines may use.
+type safe struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (s *safe) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(p)
+}
+
+func (s *safe) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.String()
+}
+
+var _ io.Writer = (*safe)(nil)
--- a/internal/traffic/dispatch/placing.go
+++ b/internal/traffic/dispatch/placing.go
@@ -86,7 +86,7 @@
 }
 
 // room reports whether an endpoint can begin the request at once.
-func room(f *field, e *Endpoint, random *rand.Rand) bool {
+func room(f *field, e *Endpoint, prompt int, random *rand.Rand) bool {
 	now := f.now
 	if now.Before(e.full) || now.Before(e.away) || now.Before(e.loading) {
 		return false
@@ -103,8 +103,27 @@
 		return float64(n) < float64(slots)*(1+plainQueue)
 	}
 	// What waits in the engine is out of reach for a better order: nothing is
-	// sent beyond its slots.
-	return n < slots && (f.contenders == 0 || e.mayTake(now, slots-n, f.contenders, random))
+	// sent beyond its slots, nor beyond what it reads in a while.
+	free := min(slots-n, readable(e.engine(), e.unread+f.others(e.hash).unread, prompt))
+	return free > 0 && (f.contenders == 0 || e.mayTake(now, free, f.contenders, random))
+}
+
+// readAhead bounds the prompts that wait to be read in one engine. An engine
+// reads them one after the other before it writes: one that comes back empty and
+// is filled at once answers its last request a second late.
+const readAhead = 250 * time.Millisecond
+
+// readable returns how many more prompts of a size an engine reads within
+// readAhead; at least one when it has nothing to read.
+func readable(s *fulmardeal.EngineSpec, unread, prompt int) int {
+	if s.ReadRate <= 0 {
+		return math.MaxInt32
+	}
+	left := readAhead.Seconds()*s.ReadRate - float64(unread)
+	if left <= 0 {
+		return 0
+	}
+	return 1 + int(left)/max(1, prompt)
 }
 
 // predict returns how long the request takes to its first event at an endpoint,
@@ -159,7 +178,7 @@
 			continue
 		}
 		known = true
-		if f.now.Before(e.suspect) || !room(f, e, random) {
+		if f.now.Before(e.suspect) || !room(f, e, w.Prompt, random) {
 			continue
 		}
 		times[i] = predict(f, e, w)
@@ -193,7 +212,7 @@
 		if !f.now.Before(e.suspect) {
 			return nil // it only lacks room
 		}
-		if room(f, e, random) && (best == nil || e.suspect.Before(best.suspect)) {
+		if room(f, e, w.Prompt, random) && (best == nil || e.suspect.Before(best.suspect)) {
 			best = e
 		}
 	}
--- /dev/null
+++ b/internal/traffic/forward/forward_test.go
@@ -0,0 +1,265 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/tools/txtar"
+
+	"fulmardeal"
+)
+
+// endpoint accepts connections and hands each request's connection to serve,
+// which reports whether the connection goes on.
+func endpoint(t *testing.T, serve func(c net.Conn, r *http.Request) bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil || !serve(c, r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func message(body string) Message {
+	return Message{Method: "POST", Target: "/a//b/../c?x=%2F", Host: "h.example", Header: http.Header{"X-A": {"1"}}, Body: []byte(body)}
+}
+
+// play writes what a script says, line by line.
+func play(c net.Conn, script string) bool {
+	for line := range strings.Lines(script) {
+		switch strings.TrimSpace(line) {
+		case "reset":
+			if tcp, is := c.(*net.TCPConn); is {
+				_ = tcp.SetLinger(0) // the test sees it if it isn't reset
+			}
+			return false
+		case "end":
+			return false
+		case "silence":
+			time.Sleep(500 * time.Millisecond)
+			return false
+		}
+		if !strings.HasPrefix(line, "hello") && !strings.HasPrefix(line, "ok") && !strings.HasPrefix(line, "x") {
+			line = strings.TrimSuffix(line, "\n") + "\r\n"
+		}
+		if strings.HasPrefix(line, "hello\n") && strings.Contains(script, "chunked") {
+			line = "hello\r\n"
+		}
+		if _, err := io.WriteString(c, line); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func TestExchanges(t *testing.T) {
+	a, err := txtar.ParseFile("testdata/exchanges.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range a.Files {
+		t.Run(f.Name, func(t *testing.T) {
+			script, want, _ := strings.Cut(string(f.Data), "want: ")
+			want = strings.TrimSpace(want)
+			if strings.Contains(script, "Content-Length: 5\n") || strings.Contains(script, "Content-Length: 2\n") {
+				script = strings.TrimSuffix(script, "\n") // the body has no line end
+			}
+			address := endpoint(t, func(c net.Conn, _ *http.Request) bool { return play(c, script) })
+			p, cleanup := NewPool()
+			defer cleanup()
+			got := outcome(p, address)
+			if got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+		})
+	}
+}
+
+func outcome(p *Pool, address string) string {
+	const silence = 200 * time.Millisecond
+	x, err := p.Send(context.Background(), address, message("b"), time.Hour, silence)
+	var lost *LostError
+	if errors.As(err, &lost) {
+		return "lost"
+	}
+	if err != nil {
+		return err.Error()
+	}
+	defer x.Close()
+	body, err := x.ReadAll(1<<20, silence)
+	if errors.As(err, &lost) {
+		return "lost"
+	}
+	time.Sleep(20 * time.Millisecond) // bytes that follow the answer arrive
+	x.Release(0)
+	state := "closed"
+	if c := p.take(address, time.Hour); c != nil {
+		if c.quiet() {
+			state = "kept"
+		}
+		c.Close()
+	}
+	return "whole " + strconv.Quote(string(body)) + " " + state
+}
+
+// The request goes out as the caller wrote it, once.
+func TestRequestIsSentUnchanged(t *testing.T) {
+	var seen atomic.Pointer[http.Request]
+	var n atomic.Int32
+	address := endpoint(t, func(c net.Conn, r *http.Request) bool {
+		n.Add(1)
+		seen.Store(r)
+		return play(c, "HTTP/1.1 200 OK\nContent-Length: 0\n\n")
+	})
+	p, cleanup := NewPool()
+	defer cleanup()
+	x, err := p.Send(t.Context(), address, message("body"), time.Hour, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.Close()
+	r := seen.Load()
+	if r.RequestURI != "/a//b/../c?x=%2F" || r.Host != "h.example" || r.Header.Get("X-A") != "1" || r.ContentLength != 4 || n.Load() != 1 {
+		t.Errorf("%s %s %v %d, %d times", r.RequestURI, r.Host, r.Header, r.ContentLength, n.Load())
+	}
+}
+
+// A kept connection that the endpoint has closed is found before it is used; one
+// that is reset under a request is never used for that request again.
+func TestNothingIsSentTwice(t *testing.T) {
+	var n atomic.Int32
+	address := endpoint(t, func(c net.Conn, _ *http.Request) bool {
+		if n.Add(1) == 2 {
+			return play(c, "reset")
+		}
+		return play(c, "HTTP/1.1 200 OK\nContent-Length: 0\n\n")
+	})
+	p, cleanup := NewPool()
+	defer cleanup()
+	x, err := p.Send(t.Context(), address, message(""), time.Hour, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := x.ReadAll(1, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	x.Release(0)
+	_, err = p.Send(t.Context(), address, message(""), time.Hour, time.Second)
+	var lost *LostError
+	if !errors.As(err, &lost) || !lost.Reused || n.Load() != 2 {
+		t.Errorf("error %v, %d requests seen; want a lost answer on a kept connection, 2 seen", err, n.Load())
+	}
+}
+
+func TestUnreachableEndpointIsUnsent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	p, cleanup := NewPool()
+	defer cleanup()
+	_, err = p.Send(t.Context(), address, message(""), time.Hour, time.Second)
+	var unsent *fulmardeal.UnsentError
+	if !errors.As(err, &unsent) {
+		t.Errorf("error %v, want an UnsentError", err)
+	}
+}
+
+// A caller that leaves is seen at the endpoint at once, in each phase.
+func TestCancelClosesTheConnection(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		gone := make(chan time.Time, 1)
+		address := endpoint(t, func(c net.Conn, _ *http.Request) bool {
+			if begun {
+				play(c, "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n5\nhello\n")
+			}
+			var b [1]byte
+			_, _ = c.Read(b[:]) // returns when the connection ends
+			gone <- time.Now()
+			return false
+		})
+		p, cleanup := NewPool()
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(50*time.Millisecond, cancel)
+		x, err := p.Send(ctx, address, message(""), time.Hour, 0)
+		if err == nil {
+			_, err = x.ReadAll(1<<20, 0)
+			x.Close()
+		}
+		if err == nil {
+			t.Error("no error")
+		}
+		select {
+		case <-gone:
+		case <-time.After(2 * time.Second):
+			t.Errorf("begun %v: the endpoint doesn't see it", begun)
+		}
+		cleanup()
+	}
+}
+
+// An answer that comes before a long body has been read leaves a connection that
+// must not be used again.
+func TestEarlyAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		play(c, "HTTP/1.1 503 No\nContent-Length: 0\n\n")
+		time.Sleep(time.Second)
+		c.Close()
+	}()
+	p, cleanup := NewPool()
+	defer cleanup()
+	m := message(strings.Repeat("x", 8<<20))
+	x, err := p.Send(t.Context(), l.Addr().String(), m, time.Hour, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := x.ReadAll(1, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	x.Release(0)
+	if c := p.take(l.Addr().String(), time.Hour); c != nil {
+		t.Error("the connection was kept though its body isn't sent")
+	}
+}
