traffic/dispatch, traffic/forward, traffic/sharing: two races and an age out of bounds

Found by the new tests under the race detector: an exchange that was over before its long body was sent wrote through a nil connection (a crash of the entry); an endpoint's address was read while its registration was replaced. A version named long before its agent's clock made a brief unreadable.

--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,8 +93,8 @@
 			w.t.Error("the key was passed on")
 		}
 		attempt := r.Header.Get("X-Fulmardeal-Attempt-Id")
-		n, _ := w.seen.LoadOrStore(attempt, new(int))
-		*n.(*int)++
+		n, _ := w.seen.LoadOrStore(attempt, new(atomic.Int32))
+		n.(*atomic.Int32).Add(1)
 		rw.Header().Set("X-Fulmardeal-Attempt-Id", attempt)
 		rw.Header().Set("X-Fulmardeal-Response-Stamp", "by-"+id)
 		serve(rw, r)
@@ -224,7 +225,7 @@
 	if !seen {
 		return 0
 	}
-	return *n.(*int)
+	return int(n.(*atomic.Int32).Load())
 }
 
 // hangUp closes the connection of a request without an answer.
--- a/internal/traffic/dispatch/endpoint.go
+++ b/internal/traffic/dispatch/endpoint.go
@@ -31,8 +31,11 @@
 	coldWindow   = time.Second             // over which a cold endpoint's requests are counted
 )
 
-// Endpoint is what this entry knows of one endpoint. The table's lock guards it.
+// Endpoint is what this entry knows of one endpoint. Its id and address never
+// change; the table's lock guards the rest.
 type Endpoint struct {
+	id           string
+	address      string
 	registration fulmardeal.Registration
 	service      *fulmardeal.Service
 	region       string
@@ -60,13 +63,10 @@
 }
 
 // ID returns the endpoint's id.
-func (e *Endpoint) ID() string { return e.registration.ID }
+func (e *Endpoint) ID() string { return e.id }
 
 // Address returns where the endpoint listens.
-func (e *Endpoint) Address() string { return e.registration.Address }
-
-// Most returns how many connections the endpoint accepts.
-func (e *Endpoint) Most() int { return e.service.Connections }
+func (e *Endpoint) Address() string { return e.address }
 
 // engine returns how the endpoint works if it is an engine, else nil.
 func (e *Endpoint) engine() *fulmardeal.EngineSpec { return e.service.Engine }
--- a/internal/traffic/dispatch/table.go
+++ b/internal/traffic/dispatch/table.go
@@ -102,12 +102,12 @@
 
 // endpoint returns the endpoint of a registration, with what is known of it.
 func (t *Table) endpoint(now time.Time, g *group, r fulmardeal.Registration, s *fulmardeal.Service) *Endpoint {
-	i := slices.IndexFunc(g.endpoints, func(e *Endpoint) bool { return e.registration.ID == r.ID })
+	i := slices.IndexFunc(g.endpoints, func(e *Endpoint) bool { return e.id == r.ID && e.address == r.Address })
 	if i >= 0 {
 		g.endpoints[i].register(now, r, s)
 		return g.endpoints[i]
 	}
-	e := &Endpoint{hash: xxhash.Sum64String(r.ID), region: t.options.Regions[r.DataCentre]}
+	e := &Endpoint{id: r.ID, address: r.Address, hash: xxhash.Sum64String(r.ID), region: t.options.Regions[r.DataCentre]}
 	switch {
 	case r.DataCentre == t.options.DataCentre:
 	case e.region == t.options.Region:
--- a/internal/traffic/forward/exchange.go
+++ b/internal/traffic/forward/exchange.go
@@ -85,8 +85,9 @@
 		}
 		x.sent <- nil
 	} else {
+		c := x.conn // the exchange may be over before the body is sent
 		go func() {
-			_, err := x.conn.Write(append(head.Bytes(), m.Body...))
+			_, err := c.Write(append(head.Bytes(), m.Body...))
 			x.sent <- err
 		}()
 	}
--- a/internal/traffic/sharing/message.go
+++ b/internal/traffic/sharing/message.go
@@ -114,7 +114,7 @@
 		if !t.Since.IsZero() {
 			age = max(0, now.Sub(t.Since))
 		}
-		b = binary.AppendUvarint(b, uint64(age.Milliseconds()))
+		b = binary.AppendUvarint(b, uint64(min(age.Milliseconds(), mostCount)))
 		b = appendText(b, t.Origin)
 		b = appendText(b, t.Place)
 	}
