--- a/internal/cli/command/native.go
+++ b/internal/cli/command/native.go
@@ -20,18 +20,24 @@
 gracefully; SIGHUP changes nothing, since its settings hold for its life.
 
 Example:
-  fulmardeal gateway`
+  fulmardeal gateway --metrics :9464`
 
 const loaderHelp = `Runs the agent beside a model engine on the users' platform: it brings the
 wanted weights to the engine and tells the entries what the engine serves. Its
 settings are the file that the platform names in the environment.
 
 Example:
-  fulmardeal loader`
+  fulmardeal loader --metrics :9465`
+
+// metricsFlag names the address of the metrics.
+type metricsFlag struct {
+	Metrics string `long:"metrics" description:"Address of /metrics and /dump" value-name:"HOST:PORT"`
+}
 
 // gatewayCommand runs an entry on the users' platform.
 type gatewayCommand struct {
 	env *environment
+	metricsFlag
 }
 
 // Execute runs the gateway until it is told to stop.
@@ -44,7 +50,7 @@
 	defer closeStore()
 	log, _, closeLog := logbook.New(c.env.out, c.env.level())
 	defer closeLog()
-	g, cleanup, err := gateway.New(gateway.Options{Site: site, Store: store, Codec: platform.Codec{}, Log: log, Seed: seedOf()})
+	g, cleanup, err := gateway.New(gateway.Options{Site: site, Store: store, Codec: platform.Codec{}, Log: log, Seed: seedOf(), Metrics: c.Metrics, Dump: c.env.err})
 	if err != nil {
 		return err
 	}
@@ -55,6 +61,7 @@
 // loaderCommand runs an agent on the users' platform.
 type loaderCommand struct {
 	env *environment
+	metricsFlag
 }
 
 // Execute runs the loader until it is told to stop.
@@ -70,7 +77,7 @@
 	log, _, closeLog := logbook.New(c.env.out, c.env.level())
 	defer closeLog()
 	l, cleanup, err := loader.New(loader.Options{
-		Site: site, Store: store, Engine: engine, Log: log, Seed: seedOf(),
+		Site: site, Store: store, Engine: engine, Log: log, Seed: seedOf(), Metrics: c.Metrics, Dump: c.env.err,
 		Origin: func(address string) (fulmardeal.Origin, func()) { return platform.NewOrigin(address) },
 	})
 	if err != nil {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -22,6 +23,7 @@
 	"fulmardeal/internal/fleet/catalogue"
 	"fulmardeal/internal/fleet/feed"
 	"fulmardeal/internal/fleet/roster"
+	"fulmardeal/internal/process/monitor"
 	"fulmardeal/internal/traffic/budget"
 	"fulmardeal/internal/traffic/dispatch"
 	"fulmardeal/internal/traffic/forward"
@@ -93,6 +95,9 @@
 	Codec Codec
 	Log   *slog.Logger
 	Seed  uint64
+
+	Metrics string    // address on which metrics are served; empty for none
+	Dump    io.Writer // where the state is written on SIGQUIT
 }
 
 // Gateway is one entry process.
@@ -108,6 +113,8 @@
 	operator  *feed.Follower
 	listed    *feed.Follower
 	stats     *Stats
+	metrics   string
+	dumpTo    io.Writer
 
 	callers   net.Listener
 	readiness net.Listener
@@ -133,6 +140,8 @@
 		codec:   o.Codec,
 		log:     o.Log,
 		stats:   stats,
+		metrics: o.Metrics,
+		dumpTo:  o.Dump,
 		repeats: make(map[string]*budget.Repeats),
 	}
 	g.table = dispatch.New(dispatch.Options{
@@ -224,6 +233,7 @@
 	group.Go(func() error { return g.listed.Run(work) })
 	group.Go(func() error { return g.mesh.Run(work) })
 	group.Go(func() error { g.tick(work); return nil })
+	group.Go(func() error { return monitor.Page(work, g.metrics, g.stats.table, g.dump, g.dumpTo) })
 	group.Go(func() error {
 		defer stop()
 		select {
@@ -258,6 +268,7 @@
 func (g *Gateway) tick(ctx context.Context) {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
+	var gauged time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -265,6 +276,10 @@
 		case <-t.C:
 		}
 		now := time.Now()
+		if now.Sub(gauged) >= reportEvery {
+			gauged = now
+			g.gauge()
+		}
 		if g.roster.Expire(now) {
 			g.table.Refresh(now, g.roster.List(), g.catalogue.View())
 		}
@@ -329,3 +344,49 @@
 	}
 	return r
 }
+
+// gauge reports what the entry believes.
+func (g *Gateway) gauge() {
+	endpoints, waiting := g.table.Counts()
+	dialed, reused := g.pool.Counts()
+	age, known := g.operator.Age()
+	if !known {
+		age = -time.Second // nothing has been heard yet
+	}
+	ready, _ := g.ready()
+	s := g.stats.scope
+	s.Gauge("version").Update(float64(g.catalogue.View().Version()))
+	s.Gauge("store_age_seconds").Update(age.Seconds())
+	s.Gauge("endpoints").Update(float64(endpoints))
+	s.Gauge("waiting").Update(float64(waiting))
+	s.Gauge("entries").Update(float64(1 + g.mesh.Peers()))
+	s.Gauge("dialed").Update(float64(dialed))
+	s.Gauge("reused").Update(float64(reused))
+	s.Gauge("ready").Update(0)
+	if ready {
+		s.Gauge("ready").Update(1)
+	}
+}
+
+// State is an entry's state as it is dumped.
+type State struct {
+	Name      string             `json:"name"`
+	Version   int64              `json:"version"`
+	Age       string             `json:"age"` // of the last word from the store
+	Ready     string             `json:"ready"`
+	Targets   []catalogue.Target `json:"targets"`
+	Endpoints []dispatch.Row     `json:"endpoints"`
+}
+
+func (g *Gateway) dump() any {
+	age, known := g.operator.Age()
+	_, why := g.ready()
+	s := State{
+		Name: g.site.Name, Version: g.catalogue.View().Version(), Age: "never", Ready: why,
+		Targets: g.catalogue.View().Targets(), Endpoints: g.table.Rows(time.Now()),
+	}
+	if known {
+		s.Age = age.String()
+	}
+	return s
+}
--- a/internal/process/gateway/stats.go
+++ b/internal/process/gateway/stats.go
@@ -37,6 +37,10 @@
 	t.Histogram("answer", buckets).RecordDuration(took)
 }
 
-func (s *Stats) first(service string, took time.Duration) {
-	s.scope.Tagged(map[string]string{"service": service}).Histogram("first_event", buckets).RecordDuration(took)
+// first takes note of a stream's first event, and of by how much it came later
+// than predicted.
+func (s *Stats) first(service string, took, over time.Duration) {
+	t := s.scope.Tagged(map[string]string{"service": service})
+	t.Histogram("first_event", buckets).RecordDuration(took)
+	t.Histogram("first_event_over", buckets).RecordDuration(max(0, over))
 }
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -55,7 +55,7 @@
 		whole, after := cutEvents(rest)
 		if len(whole) > 0 {
 			p.First()
-			if !j.hand(x, r, whole) {
+			if !j.hand(p, x, r, whole) {
 				j.log.Info("caller left", "endpoint", p.Endpoint().ID(), "after", time.Since(j.begun), "events", j.relay.events)
 				return answered, dispatch.FateDropped
 			}
@@ -92,7 +92,7 @@
 
 // hand writes whole events to the caller, the head before the first, and
 // reports whether the caller is still there. Events that it has are left out.
-func (j *job) hand(x *forward.Exchange, r fulmardeal.Reply, events []byte) bool {
+func (j *job) hand(p *dispatch.Place, x *forward.Exchange, r fulmardeal.Reply, events []byte) bool {
 	if !j.relay.begun {
 		h := j.writer.Header()
 		for name, values := range j.gateway.codec.WriteReply(x.Header()) {
@@ -101,7 +101,7 @@
 		noSniff(h)
 		j.relay.begun, j.relay.weights = true, r.Weights
 		j.relay.first = time.Since(j.begun)
-		j.gateway.stats.first(j.service, j.relay.first)
+		j.gateway.stats.first(j.service, j.relay.first, j.relay.first-j.waited-p.Expected())
 		j.writer.WriteHeader(x.Status())
 	}
 	out := events[:0:0]
--- a/internal/process/loader/loader.go
+++ b/internal/process/loader/loader.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -16,12 +17,14 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"fulmardeal"
 	"fulmardeal/internal/fleet/catalogue"
 	"fulmardeal/internal/fleet/feed"
 	"fulmardeal/internal/link/connection"
+	"fulmardeal/internal/process/monitor"
 	"fulmardeal/internal/traffic/sharing"
 	"fulmardeal/internal/weights/chunk"
 )
@@ -46,6 +49,9 @@
 	heapGrowth  = 40                    // per cent, instead of 100: memory is dearer than processor time here
 )
 
+// reportEvery is how old a figure may be.
+const reportEvery = time.Second
+
 // Engine is the engine beside the agent, with its staged chunks.
 type Engine interface {
 	chunk.Store
@@ -72,6 +78,9 @@
 	Origin OpenOrigin
 	Log    *slog.Logger
 	Seed   uint64
+
+	Metrics string    // address on which metrics are served; empty for none
+	Dump    io.Writer // where the state is written on SIGQUIT
 }
 
 // Loader is one agent process.
@@ -86,6 +95,8 @@
 	exchange  *chunk.Exchange
 	shelf     *shelf
 	work      work
+	table     *monitor.Table
+	scope     tally.Scope
 	wake      chan struct{} // has a token when a fetch has ended
 
 	mu      sync.Mutex
@@ -109,6 +120,9 @@
 func New(o Options) (*Loader, func(), error) {
 	address := net.JoinHostPort(o.Site.Host, strconv.Itoa(o.Site.Ports[0]))
 	l := &Loader{options: o, log: o.Log, address: address, shelf: &shelf{engine: o.Engine}, wake: make(chan struct{}, 1)}
+	l.table = monitor.NewTable()
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "fulmardeal", Reporter: l.table, Separator: "_"}, reportEvery)
+	l.scope = scope
 	server, closeServer, err := connection.Listen(connection.TCP{}, address)
 	if err != nil {
 		return nil, nil, err
@@ -119,6 +133,7 @@
 	l.exchange = chunk.NewExchange(l.origin, l.shelf, pool, o.Log)
 	l.exchange.SetPace(chunk.Serving(o.Site.LinkRate, true))
 	cleanup := func() {
+		_ = closer.Close() // nothing is left to do when it fails
 		l.origin.close()
 		closePool()
 		closeServer()
@@ -227,6 +242,7 @@
 	g.Go(func() error { return sharing.ListenBrief(ctx, l.address, l.hear, l.log) })
 	g.Go(func() error { return l.server.Serve() })
 	g.Go(func() error { l.look(ctx); return nil })
+	g.Go(func() error { return monitor.Page(ctx, l.options.Metrics, l.table, l.dump, l.options.Dump) })
 	g.Go(func() error {
 		<-ctx.Done()
 		l.server.Stop()
@@ -310,3 +326,34 @@
 		}
 	}
 }
+
+// State is an agent's state as it is dumped.
+type State struct {
+	Name   string           `json:"name"`
+	Target catalogue.Target `json:"target"`
+	Heard  string           `json:"heard"` // since an entry was heard
+	Peers  int              `json:"peers"`
+}
+
+func (l *Loader) dump() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := State{Name: l.options.Site.Name, Target: l.target, Heard: "never", Peers: len(l.peers)}
+	if !l.heard.IsZero() {
+		s.Heard = time.Since(l.heard).String()
+	}
+	return s
+}
+
+// gauge reports what the agent believes.
+func (l *Loader) gauge(held int64, loading bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.scope.Gauge("weights").Update(float64(held))
+	l.scope.Gauge("wanted").Update(float64(l.target.Version))
+	l.scope.Gauge("peers").Update(float64(len(l.peers)))
+	l.scope.Gauge("loading").Update(0)
+	if loading {
+		l.scope.Gauge("loading").Update(1)
+	}
+}
--- a/internal/process/loader/work.go
+++ b/internal/process/loader/work.go
@@ -103,6 +103,7 @@
 	wanted := l.catalogue.View().Wanted(model)
 	held := fulmardeal.Holds(state.Spans, target.Layers)
 	l.announce(held, state.Loading)
+	l.gauge(held, state.Loading)
 	l.collect()
 	l.want(ctx, model, wanted.Version, held)
 	if held == wanted.Version {
@@ -138,6 +139,9 @@
 				continue
 			}
 			j.swarm = r.swarm
+			l.scope.Counter("spread").Inc(1)
+			l.scope.Counter("drawn_bytes").Inc(r.swarm.Drawn())
+			l.scope.Counter("corrupt_chunks").Inc(int64(r.swarm.Corrupt()))
 		default:
 		}
 	}
--- /dev/null
+++ b/internal/process/logbook/story.go
@@ -0,0 +1,180 @@
+package logbook
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Line is one line of a process's log.
+type Line struct {
+	File    string
+	Number  int
+	Time    time.Time
+	Message string
+	Fields  []Field // in the order of the line, without time, level and msg
+}
+
+// Field is one key with its value.
+type Field struct {
+	Key   string
+	Value string
+}
+
+// Value returns the value of a key, empty when the line has none.
+func (l *Line) Value(key string) string {
+	for _, f := range l.Fields {
+		if f.Key == key {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// LineError is a line that can't be read.
+type LineError struct {
+	File   string
+	Number int
+	Reason string
+}
+
+func (e *LineError) Error() string { return fmt.Sprintf("%s:%d: %s", e.File, e.Number, e.Reason) }
+
+// ForeignError is a file without any line of a log.
+type ForeignError struct {
+	File string
+}
+
+func (e *ForeignError) Error() string { return e.File + ": no line of a log of fulmardeal in it" }
+
+// mostLine bounds one line of a log, in bytes.
+const mostLine = 1 << 20
+
+// Read reads a log. Lines that can't be read are returned as errors beside the
+// others. What stands before a line's time, such as an instance's name that a
+// collector has added, is left out.
+func Read(file string, r io.Reader) ([]Line, []error) {
+	var lines []Line
+	var faults []error
+	scan := bufio.NewScanner(r)
+	scan.Buffer(nil, mostLine)
+	for n := 1; scan.Scan(); n++ {
+		text := strings.TrimSpace(scan.Text())
+		if text == "" {
+			continue
+		}
+		l, reason := parseLine(text)
+		if reason != "" {
+			faults = append(faults, &LineError{File: file, Number: n, Reason: reason})
+			continue
+		}
+		l.File, l.Number = file, n
+		lines = append(lines, l)
+	}
+	if err := scan.Err(); err != nil {
+		faults = append(faults, &LineError{File: file, Number: len(lines) + len(faults) + 1, Reason: err.Error()})
+	}
+	if len(lines) == 0 {
+		return nil, []error{&ForeignError{File: file}}
+	}
+	return lines, faults
+}
+
+func parseLine(text string) (Line, string) {
+	at := strings.Index(text, "time=")
+	if at < 0 {
+		return Line{}, "no time in it"
+	}
+	var l Line
+	rest := text[at:]
+	for rest != "" {
+		key, value, after, ok := cutField(rest)
+		if !ok {
+			return Line{}, "it ends within a field"
+		}
+		rest = after
+		switch key {
+		case "time":
+			t, err := time.Parse(time.RFC3339Nano, value)
+			if err != nil {
+				return Line{}, "its time can't be read"
+			}
+			l.Time = t
+		case "level":
+		case "msg":
+			l.Message = value
+		default:
+			l.Fields = append(l.Fields, Field{Key: key, Value: value})
+		}
+	}
+	if l.Message == "" {
+		return Line{}, "no message in it"
+	}
+	return l, ""
+}
+
+// cutField takes the first key=value off a line. A value may be quoted.
+func cutField(s string) (key, value, rest string, ok bool) {
+	key, s, found := strings.Cut(s, "=")
+	if !found || strings.ContainsAny(key, " \"") {
+		return "", "", "", false
+	}
+	if !strings.HasPrefix(s, `"`) {
+		value, rest, _ = strings.Cut(s, " ")
+		return key, value, strings.TrimLeft(rest, " "), true
+	}
+	quoted, err := strconv.QuotedPrefix(s)
+	if err != nil {
+		return "", "", "", false
+	}
+	value, err = strconv.Unquote(quoted)
+	return key, value, strings.TrimLeft(s[len(quoted):], " "), err == nil
+}
+
+// beliefs are the messages that tell what a process believes.
+var beliefs = []string{"in force", "store lost", "store reached", "endpoints changed", "engine told", "feed stale", "lines left out", "leaving", "started"}
+
+// before is how long before a request's first line beliefs belong to its story.
+const before = 3 * time.Second
+
+// Story returns the lines of one request in order of time, with what each
+// process that had a part in it came to believe shortly before and meanwhile.
+// Of engines, only those that the request met are told.
+func Story(id string, lines []Line) []Line {
+	var own []Line
+	met := make(map[string]bool)
+	for _, l := range lines {
+		if l.Value("id") == id {
+			own = append(own, l)
+			met[l.File] = true
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	first, last := own[0].Time, own[0].Time
+	for _, l := range own {
+		if l.Time.Before(first) {
+			first = l.Time
+		}
+		if l.Time.After(last) {
+			last = l.Time
+		}
+	}
+	out := own
+	for _, l := range lines {
+		if met[l.File] && slices.Contains(beliefs, l.Message) && l.Value("id") == "" &&
+			l.Time.After(first.Add(-before)) && !l.Time.After(last) {
+			out = append(out, l)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Line) int {
+		return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.File, b.File), cmp.Compare(a.Number, b.Number))
+	})
+	return out
+}
--- /dev/null
+++ b/internal/process/monitor/page.go
@@ -0,0 +1,61 @@
+package monitor
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// pageTimeout bounds a call for the metrics.
+const pageTimeout = 5 * time.Second
+
+// Page serves a process's metrics under /metrics and its state under /dump, and
+// writes the state to w on SIGQUIT, until the context ends. An empty address
+// serves nothing.
+func Page(ctx context.Context, address string, t *Table, dump func() any, w io.Writer) error {
+	quit := make(chan os.Signal, 1)
+	signal.Notify(quit, syscall.SIGQUIT)
+	defer signal.Stop(quit)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-quit:
+				writeDump(w, dump())
+			}
+		}
+	}()
+	if address == "" {
+		<-ctx.Done()
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(rw http.ResponseWriter, _ *http.Request) { t.Write(rw) })
+	mux.HandleFunc("GET /dump", func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Content-Type", "application/json")
+		writeDump(rw, dump())
+	})
+	s := &http.Server{Addr: address, Handler: mux, ReadTimeout: pageTimeout, WriteTimeout: pageTimeout}
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("metrics on %s: %w", address, err)
+	}
+	return nil
+}
+
+func writeDump(w io.Writer, state any) {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(state); err != nil {
+		fmt.Fprintf(w, "state can't be written: %v\n", err)
+	}
+}
--- a/internal/traffic/sharing/sharing_test.go
+++ b/internal/traffic/sharing/sharing_test.go
@@ -203,7 +203,9 @@
 		meshes = append(meshes, m)
 	}
 	heard := make(chan Brief, 100)
-	go func() { _ = ListenBrief(ctx, agent.String(), func(f Brief) { heard <- f }, slog.New(slog.DiscardHandler)) }()
+	go func() {
+		_ = ListenBrief(ctx, agent.String(), func(f Brief) { heard <- f }, slog.New(slog.DiscardHandler))
+	}()
 	for range 300 {
 		if meshes[0].Peers() == 1 && meshes[1].Peers() == 1 {
 			break
