traffic/dispatch: answers that have begun go before all others

What had been read was lost.

An answer that goes on is first in line, waits up to 0.9 s, gets two places beyond an engine's slots, and is sent with the most urgent priority.

--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -247,7 +247,7 @@
 		Objective: j.route.Objective,
 	}
 	if j.relay.begun {
-		w.Sent, w.Objective = time.Now(), j.route.Pause
+		w.Sent, w.Objective, w.Begun = time.Now(), j.route.Pause, true
 	}
 	return w
 }
@@ -273,15 +273,19 @@
 func (j *job) attempt(ctx context.Context, p *dispatch.Place) (verdict, dispatch.Fate) {
 	g := j.gateway
 	e := p.Endpoint()
-	m := j.message
-	m.Header = g.codec.WriteForward(j.message.Header, fulmardeal.Forward{
+	forwarded := fulmardeal.Forward{
 		Instance: e.ID(),
 		Deadline: time.Until(j.deadline),
 		Customer: j.customer,
 		Priority: -1,
 		Weights:  j.relay.weights,
 		Resume:   j.relay.resumeAfter(j.facts.Resume),
-	})
+	}
+	if j.relay.begun {
+		forwarded.Priority = 0 // its caller is waiting in the middle of the answer
+	}
+	m := j.message
+	m.Header = g.codec.WriteForward(j.message.Header, forwarded)
 	sent := time.Now()
 	x, err := g.pool.Send(ctx, e.Address(), m, j.mostIdle(), j.silence())
 	if err != nil {
--- a/internal/traffic/dispatch/placing.go
+++ b/internal/traffic/dispatch/placing.go
@@ -38,6 +38,7 @@
 	Output    int
 	Exact     int64    // the version of the weights that must answer; 0 is any
 	Tried     []string // ids of endpoints that are not to be asked again
+	Begun     bool     // its caller has part of the answer
 	Print     uint64   // what it asks for; the same when its caller comes back
 	Sent      time.Time
 	Latest    time.Time     // when it must have its final answer
@@ -86,7 +87,7 @@
 }
 
 // room reports whether an endpoint can begin the request at once.
-func room(f *field, e *Endpoint, prompt int, random *rand.Rand) bool {
+func room(f *field, e *Endpoint, w *Want, random *rand.Rand) bool {
 	now := f.now
 	if now.Before(e.full) || now.Before(e.away) || now.Before(e.loading) {
 		return false
@@ -102,12 +103,19 @@
 	if e.engine() == nil {
 		return float64(n) < float64(slots)*(1+plainQueue)
 	}
+	if w.Begun {
+		return n < slots+begunAhead // the engine admits it before what it has waiting
+	}
 	// What waits in the engine is out of reach for a better order: nothing is
 	// sent beyond its slots, nor beyond what it reads in a while.
-	free := min(slots-n, readable(e.engine(), e.unread+f.others(e.hash).unread, prompt))
+	free := min(slots-n, readable(e.engine(), e.unread+f.others(e.hash).unread, w.Prompt))
 	return free > 0 && (f.contenders == 0 || e.mayTake(now, free, f.contenders, random))
 }
 
+// begunAhead is how many answers that go on an engine gets beyond its slots: a
+// place comes free within about two passes.
+const begunAhead = 2
+
 // readAhead bounds the prompts that wait to be read in one engine. An engine
 // reads them one after the other before it writes: one that comes back empty and
 // is filled at once answers its last request a second late.
@@ -178,7 +186,7 @@
 			continue
 		}
 		known = true
-		if f.now.Before(e.suspect) || !room(f, e, w.Prompt, random) {
+		if f.now.Before(e.suspect) || !room(f, e, w, random) {
 			continue
 		}
 		times[i] = predict(f, e, w)
@@ -212,7 +220,7 @@
 		if !f.now.Before(e.suspect) {
 			return nil // it only lacks room
 		}
-		if room(f, e, w.Prompt, random) && (best == nil || e.suspect.Before(best.suspect)) {
+		if room(f, e, w, random) && (best == nil || e.suspect.Before(best.suspect)) {
 			best = e
 		}
 	}
--- a/internal/traffic/dispatch/rejecting.go
+++ b/internal/traffic/dispatch/rejecting.go
@@ -26,7 +26,7 @@
 func (l *line) outrun(now time.Time, freed float64) []*waiter {
 	var out []*waiter
 	for i, x := range l.waiters {
-		if float64(i) > lineLeast+freed*x.until.Sub(now).Seconds() {
+		if !x.want.Begun && float64(i) > lineLeast+freed*x.until.Sub(now).Seconds() {
 			out = append(out, x)
 		}
 	}
--- a/internal/traffic/dispatch/waiting.go
+++ b/internal/traffic/dispatch/waiting.go
@@ -29,7 +29,9 @@
 // room that nobody else has a claim to may come free.
 func newWaiter(now time.Time, w *Want, first, start time.Time) *waiter {
 	until := now.Add(mostWait)
-	if start.After(now) {
+	if w.Begun {
+		until = now.Add(begunWait)
+	} else if start.After(now) {
 		until = minTime(until, start)
 	} else {
 		until = now.Add(lateWait)
@@ -43,16 +45,26 @@
 // lateWait is how long a request waits that can't be answered in time any more.
 const lateWait = 50 * time.Millisecond
 
+// begunWait is how long an answer that has begun waits to go on. Callers leave
+// after two seconds without an event, of which finding the break took up to one.
+const begunWait = 900 * time.Millisecond
+
 // order sorts the line. It answers a load above what the engines bear, where
 // somebody has to go without: those who can still be answered in time go before
 // those who can't, and among them who came last. Whoever came first has least
 // time left, is answered late if the prediction is off by a little, and then a
 // place was spent on a quarter of its worth; serving those first makes everybody
-// wait until then. Kinds with a longer objective have no advantage.
+// wait until then. Kinds with a longer objective have no advantage. Answers that
+// have begun go before all others: what was spent on them would be lost.
 func (l *line) order(now time.Time) {
 	slices.SortStableFunc(l.waiters, func(a, b *waiter) int {
 		x, y := a.late(now), b.late(now)
 		switch {
+		case a.want.Begun != b.want.Begun:
+			if a.want.Begun {
+				return -1
+			}
+			return 1
 		case !x && y:
 			return -1
 		case x && !y:
@@ -63,7 +75,7 @@
 }
 
 // late reports whether a request can no longer be answered in time.
-func (x *waiter) late(now time.Time) bool { return !now.Before(x.start) }
+func (x *waiter) late(now time.Time) bool { return !x.want.Begun && !now.Before(x.start) }
 
 // pressing returns how many in line can still be answered in time.
 func (l *line) pressing(now time.Time) int {
