--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -210,6 +210,7 @@
 	g.roster.Apply(now, b)
 	if g.roster.Version() != before {
 		g.log.Info("endpoints changed", "endpoints", len(g.roster.List()), "silence", b.Silence)
+		g.mesh.Brief() // an agent that is new has heard nothing yet
 	}
 	if len(b.Changes) > 0 || g.roster.Version() != before {
 		g.table.Refresh(now, g.roster.List(), g.catalogue.View())
--- a/internal/traffic/sharing/mesh.go
+++ b/internal/traffic/sharing/mesh.go
@@ -34,6 +34,11 @@
 	// new version it hears at once.
 	briefEvery = time.Second
 
+	// An entry that has just started briefs more often: when all start at once,
+	// agents have nothing to do until they are told.
+	briefSoon    = 120 * time.Millisecond
+	briefSoonFor = 4 * time.Second
+
 	// tellers is how many entries tell one agent, so that the cost of telling
 	// doesn't grow with entries times agents, and some may be down.
 	tellers = 3
@@ -134,7 +139,8 @@
 
 // remind briefs the agents again and again.
 func (m *Mesh) remind(ctx context.Context) {
-	t := time.NewTicker(briefEvery)
+	begun := time.Now()
+	t := time.NewTimer(briefSoon)
 	defer t.Stop()
 	for {
 		select {
@@ -143,6 +149,11 @@
 		case <-t.C:
 			m.Brief()
 		}
+		if time.Since(begun) < briefSoonFor {
+			t.Reset(briefSoon)
+		} else {
+			t.Reset(briefEvery)
+		}
 	}
 }
 
--- a/internal/traffic/sharing/sharing_test.go
+++ b/internal/traffic/sharing/sharing_test.go
@@ -178,7 +178,7 @@
 }
 
 // Two entries find each other though only one is listed, and an agent hears
-// from them.
+// from them at once: when all start together, it has nothing to do until then.
 func TestMeshAndAgent(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -202,10 +202,19 @@
 		go func() { _ = m.Run(ctx) }() // ends with the context
 		meshes = append(meshes, m)
 	}
+	began := time.Now()
 	heard := make(chan Brief, 100)
 	go func() {
 		_ = ListenBrief(ctx, agent.String(), func(f Brief) { heard <- f }, slog.New(slog.DiscardHandler))
 	}()
+	select {
+	case f := <-heard:
+		if took := time.Since(began); took > 500*time.Millisecond || len(f.Targets) != 1 || f.Targets[0].Version != 3 || len(f.Entries) == 0 {
+			t.Errorf("after %v: %+v", took, f)
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("the agent hears nothing")
+	}
 	for range 300 {
 		if meshes[0].Peers() == 1 && meshes[1].Peers() == 1 {
 			break
@@ -215,13 +224,4 @@
 	if meshes[0].Peers() != 1 || meshes[1].Peers() != 1 {
 		t.Fatalf("peers known: %d and %d", meshes[0].Peers(), meshes[1].Peers())
 	}
-	meshes[0].Brief()
-	select {
-	case f := <-heard:
-		if len(f.Targets) != 1 || f.Targets[0].Version != 3 || len(f.Entries) == 0 {
-			t.Errorf("%+v", f)
-		}
-	case <-time.After(3 * time.Second):
-		t.Error("the agent hears nothing")
-	}
 }
