--- a/internal/traffic/dispatch/replay_test.go
+++ b/internal/traffic/dispatch/replay_test.go
@@ -259,7 +259,6 @@
 	owed    float64
 	refused int
 	slowest time.Duration // a refusal took
-	useless int           // refusals while there was room for all
 	random  *rand.Rand
 	begun   time.Time
 
