--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -120,7 +120,7 @@
 			{Name: "read", Host: "h", Prefix: "/read/", Kind: fulmardeal.KindIdempotent, Timeout: time.Second, Objective: 300 * time.Millisecond, Shares: share, Attempts: 2},
 			{Name: "order", Host: "h", Prefix: "/order/", Kind: fulmardeal.KindOnce, Timeout: time.Second, Objective: 300 * time.Millisecond, Shares: share, Attempts: 3},
 			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: fulmardeal.KindStream, Timeout: 3 * time.Second, Objective: 300 * time.Millisecond, Pause: 300 * time.Millisecond, Shares: share, Attempts: 2, Resumable: true},
-			{Name: "home", Host: "h", Prefix: "/home/", Kind: fulmardeal.KindIdempotent, Timeout: time.Second, Shares: share, Attempts: 2, Homes: []string{"north"}},
+			{Name: "native", Host: "h", Prefix: "/native/", Kind: fulmardeal.KindIdempotent, Timeout: time.Second, Shares: share, Attempts: 2, Homes: []string{"north"}},
 		},
 		Services:  []fulmardeal.Service{{Name: "shop", Connections: 10}},
 		Customers: []fulmardeal.Customer{{Name: "bahar", Keys: []string{"k1"}}},
@@ -259,13 +259,13 @@
 		{"/order/", func(r *http.Request) {
 			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 1001))), 1001
 		}, 413},
-		{"/home/", nil, 503}, // no endpoint in its home region
+		{"/native/", nil, 503}, // no endpoint in its home region
 	} {
 		if a := w.call("POST", c.path, c.change); a.status != c.want || w.runs(a.id) != 0 {
 			t.Errorf("%s: status %d, want %d; run %d times", c.path, a.status, c.want, w.runs(a.id))
 		}
 	}
-	if a := w.call("POST", "/home/", nil); a.header.Get("Retry-After") == "" {
+	if a := w.call("POST", "/native/", nil); a.header.Get("Retry-After") == "" {
 		t.Error("a refusal doesn't say when to come back")
 	}
 }
--- a/internal/traffic/dispatch/table.go
+++ b/internal/traffic/dispatch/table.go
@@ -53,12 +53,6 @@
 	rate      float64 // places that come free a second
 }
 
-// peer is what another entry has at the endpoints.
-type peer struct {
-	heard  time.Time
-	others map[uint64]others
-}
-
 // New returns an empty table.
 func New(o Options) *Table {
 	return &Table{
@@ -119,65 +113,6 @@
 	return e
 }
 
-// peerSilent is how long another entry may be silent before its requests no
-// longer count: it has stopped, or is cut off.
-const peerSilent = time.Second
-
-// Load is what an entry has at one endpoint, or in line for a service.
-type Load struct {
-	Endpoint uint64 // hash of its id, or of the line
-	Running  int
-	Unread   int
-}
-
-// News is what entries tell each other.
-type News struct {
-	Loads   []Load
-	Refused []Refused
-}
-
-// News returns what this entry has at the endpoints and in its lines, and what
-// it has just refused.
-func (t *Table) News() News {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	out := News{Refused: t.memory.news(now)}
-	for name, g := range t.services {
-		if n := g.line.pressing(now); n > 0 {
-			out.Loads = append(out.Loads, Load{Endpoint: lineHash(name), Running: n})
-		}
-		for _, e := range g.endpoints {
-			if e.running > 0 {
-				out.Loads = append(out.Loads, Load{Endpoint: e.hash, Running: e.running, Unread: e.unread})
-			}
-		}
-	}
-	return out
-}
-
-// Hear takes over what another entry tells.
-func (t *Table) Hear(now time.Time, entry string, n News) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, r := range n.Refused {
-		t.memory.put(now, r.Print, now.Add(-r.Age))
-	}
-	p := &peer{heard: now, others: make(map[uint64]others, len(n.Loads))}
-	for _, l := range n.Loads {
-		p.others[l.Endpoint] = others{running: l.Running, unread: l.Unread}
-	}
-	t.peers[entry] = p
-	for name, q := range t.peers {
-		if now.Sub(q.heard) > peerSilent {
-			delete(t.peers, name)
-		}
-	}
-	for _, g := range t.services {
-		t.settle(now, g)
-	}
-}
-
 // Heed takes over what the agent beside an engine says of it.
 func (t *Table) Heed(now time.Time, address string, weights int64, loading bool) {
 	t.mu.Lock()
@@ -223,28 +158,6 @@
 	return f
 }
 
-// Place is a request's place at an endpoint. End must be called.
-type Place struct {
-	table    *Table
-	group    *group
-	endpoint *Endpoint
-	prompt   int
-	weights  int64
-	sent     time.Time
-	expected time.Duration // to the first event, by the prediction
-	begun    bool
-	ended    bool
-}
-
-// Endpoint returns the endpoint.
-func (p *Place) Endpoint() *Endpoint { return p.endpoint }
-
-// Weights returns the version that the endpoint was believed to hold.
-func (p *Place) Weights() int64 { return p.weights }
-
-// Expected returns the predicted time to the first event.
-func (p *Place) Expected() time.Duration { return p.expected }
-
 // RefusedError is a request that can't be placed.
 type RefusedError struct {
 	Reason Refusal
@@ -330,35 +243,6 @@
 	}
 }
 
-// pressing returns how many wait for a service, here and at other entries, that
-// can still be answered in time.
-func (t *Table) pressing(now time.Time, service string, g *group) int {
-	n := g.line.pressing(now)
-	for _, p := range t.peers {
-		if now.Sub(p.heard) <= peerSilent {
-			n += p.others[lineHash(service)].running
-		}
-	}
-	return n
-}
-
-// contenders returns how many entries have requests waiting for a service.
-func (t *Table) contenders(now time.Time, service string, g *group) int {
-	n := 0
-	if len(g.line.waiters) > 0 {
-		n = 1
-	}
-	for _, p := range t.peers {
-		if now.Sub(p.heard) <= peerSilent && p.others[lineHash(service)].running > 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// lineHash stands for a service's line among the endpoints in a message.
-func lineHash(service string) uint64 { return xxhash.Sum64String("line/" + service) }
-
 // soonest returns how long a request takes to its first event at an engine
 // that has nothing else to read.
 func soonest(g *group, w *Want) time.Duration {
@@ -436,50 +320,6 @@
 	}
 }
 
-// First notes that the answer has begun.
-func (p *Place) First() {
-	p.table.mu.Lock()
-	defer p.table.mu.Unlock()
-	if !p.begun {
-		now := time.Now()
-		p.endpoint.begin(now, now.Sub(p.sent), p.expected)
-	}
-	p.first()
-}
-
-func (p *Place) first() {
-	if !p.begun {
-		p.begun = true
-		p.endpoint.unread -= p.prompt
-	}
-}
-
-// End gives the place back. Calling it again does nothing.
-func (p *Place) End(f Fate) {
-	now := time.Now()
-	t := p.table
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if p.ended {
-		return
-	}
-	p.ended = true
-	p.first()
-	p.endpoint.running--
-	p.endpoint.freed = append(p.endpoint.freed, now)
-	p.endpoint.learn(now, f)
-	g := p.group
-	if g == nil {
-		return
-	}
-	g.freed++
-	if d := now.Sub(g.window); d >= freedWindow {
-		g.rate = float64(g.freed) / d.Seconds()
-		g.freed, g.window = 0, now
-	}
-	t.settle(now, g)
-}
-
 // Row is one endpoint in a state dump.
 type Row struct {
 	ID      string  `json:"id"`
