--- a/internal/traffic/dispatch/placing.go
+++ b/internal/traffic/dispatch/placing.go
@@ -14,7 +14,7 @@
 	// tieEach is, for each entry, how close two predictions are for chance to
 	// decide: the more entries place without seeing each other's sends, the more
 	// of them would pick the same engine.
-	tieEach = 4 * time.Millisecond
+	tieEach = 10 * time.Millisecond
 
 	// failingCost is what a share of failures of 1 adds to a prediction: about
 	// the time that a repeat takes.
