--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -238,7 +238,6 @@
 		Service:   j.service,
 		Homes:     j.homes,
 		Prompt:    j.facts.Prompt,
-		Output:    j.facts.Output,
 		Exact:     j.relay.weights,
 		Tried:     j.tried,
 		Latest:    j.deadline,
--- a/internal/traffic/dispatch/placing.go
+++ b/internal/traffic/dispatch/placing.go
@@ -35,11 +35,10 @@
 	Service   string
 	Homes     [][]string // of route and customer; each that isn't empty binds
 	Prompt    int        // tokens
-	Output    int
-	Exact     int64    // the version of the weights that must answer; 0 is any
-	Tried     []string // ids of endpoints that are not to be asked again
-	Begun     bool     // its caller has part of the answer
-	Print     uint64   // what it asks for; the same when its caller comes back
+	Exact     int64      // the version of the weights that must answer; 0 is any
+	Tried     []string   // ids of endpoints that are not to be asked again
+	Begun     bool       // its caller has part of the answer
+	Print     uint64     // what it asks for; the same when its caller comes back
 	Sent      time.Time
 	Latest    time.Time     // when it must have its final answer
 	Objective time.Duration // from when its caller first sent it to the answer or first event
