--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"fulmardeal"
+	"fulmardeal/internal/fleet/catalogue"
 	"fulmardeal/internal/traffic/dispatch"
 	"fulmardeal/internal/traffic/forward"
 )
@@ -31,19 +32,19 @@
 
 // job is one caller's request on its way.
 type job struct {
-	gateway  *Gateway
-	log      *slog.Logger
-	message  forward.Message
-	facts    fulmardeal.Facts
-	route    *fulmardeal.Route
-	service  string
-	customer string
-	homes    [][]string
-	version  int64 // of the configuration that decided
-	begun    time.Time
-	deadline time.Time
-	print    uint64 // of what is asked for; the same when the caller comes back
-	writer   http.ResponseWriter
+	gateway     *Gateway
+	log         *slog.Logger
+	message     forward.Message
+	facts       fulmardeal.Facts
+	route       *fulmardeal.Route
+	service     string
+	customer    string
+	homes       [][]string
+	version     int64 // of the configuration that decided
+	begun       time.Time
+	deadline    time.Time
+	fingerprint uint64 // of what is asked for; the same when the caller comes back
+	writer      http.ResponseWriter
 
 	waited time.Duration // in line
 	tried  []string      // endpoints that are not to be asked again
@@ -97,7 +98,7 @@
 		return false
 	}
 	j.route = route
-	if !j.authorize(view.Keyed()) {
+	if !j.authorize(view) {
 		return false
 	}
 	if !j.read(r, view.Catalogue().Limits) {
@@ -110,10 +111,11 @@
 	return true
 }
 
-// authorize finds the customer of the request's key.
-func (j *job) authorize(keyed bool) bool {
+// authorize finds the customer of the request's key, in the configuration that
+// named the route.
+func (j *job) authorize(view *catalogue.View) bool {
 	g := j.gateway
-	if !keyed || j.route.Public {
+	if !view.Keyed() || j.route.Public {
 		return true
 	}
 	if age, ok := g.confirmed(); !ok {
@@ -121,7 +123,7 @@
 		j.refuse(http.StatusServiceUnavailable, "keys unconfirmed", unconfiguredAfter)
 		return false
 	}
-	customer := g.catalogue.View().Customer(j.facts.Key)
+	customer := view.Customer(j.facts.Key)
 	if customer == nil {
 		j.refuse(http.StatusUnauthorized, "key not known", 0)
 		return false
@@ -171,7 +173,7 @@
 		_, _ = h.WriteString("\x00")
 	}
 	_, _ = h.Write(j.message.Body)
-	j.print = h.Sum64()
+	j.fingerprint = h.Sum64()
 }
 
 // pickShare draws one of a route's services by weight. The caller's attempt
@@ -235,15 +237,15 @@
 
 func (j *job) want() *dispatch.Want {
 	w := &dispatch.Want{
-		Service:   j.service,
-		Homes:     j.homes,
-		Prompt:    j.facts.Prompt,
-		Exact:     j.relay.weights,
-		Tried:     j.tried,
-		Latest:    j.deadline,
-		Print:     j.print,
-		Sent:      j.begun,
-		Objective: j.route.Objective,
+		Service:     j.service,
+		Homes:       j.homes,
+		Prompt:      j.facts.Prompt,
+		Exact:       j.relay.weights,
+		Tried:       j.tried,
+		Latest:      j.deadline,
+		Fingerprint: j.fingerprint,
+		Sent:        j.begun,
+		Objective:   j.route.Objective,
 	}
 	if j.relay.begun {
 		w.Sent, w.Objective, w.Begun = time.Now(), j.route.Pause, true
--- a/internal/traffic/dispatch/news.go
+++ b/internal/traffic/dispatch/news.go
@@ -54,7 +54,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range n.Refused {
-		t.memory.put(now, r.Print, now.Add(-r.Age))
+		t.memory.put(now, r.Fingerprint, now.Add(-r.Age))
 	}
 	p := &peer{heard: now, others: make(map[uint64]others, len(n.Loads))}
 	for _, l := range n.Loads {
--- a/internal/traffic/dispatch/placing.go
+++ b/internal/traffic/dispatch/placing.go
@@ -32,16 +32,16 @@
 
 // Want is what a request needs of an endpoint.
 type Want struct {
-	Service   string
-	Homes     [][]string // of route and customer; each that isn't empty binds
-	Prompt    int        // tokens
-	Exact     int64      // the version of the weights that must answer; 0 is any
-	Tried     []string   // ids of endpoints that are not to be asked again
-	Begun     bool       // its caller has part of the answer
-	Print     uint64     // what it asks for; the same when its caller comes back
-	Sent      time.Time
-	Latest    time.Time     // when it must have its final answer
-	Objective time.Duration // from when its caller first sent it to the answer or first event
+	Service     string
+	Homes       [][]string // of route and customer; each that isn't empty binds
+	Prompt      int        // tokens
+	Exact       int64      // the version of the weights that must answer; 0 is any
+	Tried       []string   // ids of endpoints that are not to be asked again
+	Begun       bool       // its caller has part of the answer
+	Fingerprint uint64     // what it asks for; the same when its caller comes back
+	Sent        time.Time
+	Latest      time.Time     // when it must have its final answer
+	Objective   time.Duration // from when its caller first sent it to the answer or first event
 }
 
 // others are what other entries have at one endpoint.
--- a/internal/traffic/dispatch/replay_test.go
+++ b/internal/traffic/dispatch/replay_test.go
@@ -334,7 +334,7 @@
 	}
 	for try := range uint64(2) {
 		sent := time.Now()
-		want := &Want{Service: "llm", Prompt: prompt, Print: lot, Sent: sent, Latest: begun.Add(patience), Objective: objective.Sub(begun)}
+		want := &Want{Service: "llm", Prompt: prompt, Fingerprint: lot, Sent: sent, Latest: begun.Add(patience), Objective: objective.Sub(begun)}
 		address, first, end, err := entries[(lot+try)%uint64(len(entries))].place(ctx, want)
 		if err != nil {
 			w.mu.Lock()
--- a/internal/traffic/dispatch/returning.go
+++ b/internal/traffic/dispatch/returning.go
@@ -29,8 +29,8 @@
 
 // Refused is a request that was refused, by a fingerprint of what it asks for.
 type Refused struct {
-	Print uint64
-	Age   time.Duration // since its caller first sent it
+	Fingerprint uint64
+	Age         time.Duration // since its caller first sent it
 }
 
 // Times of what is remembered of refusals.
@@ -50,22 +50,22 @@
 
 // recent is a refusal that the other entries are still told of.
 type recent struct {
-	print uint64
-	at    time.Time
+	fingerprint uint64
+	at          time.Time
 }
 
 // note takes over a refusal of this entry.
-func (m *memory) note(now time.Time, print uint64, first time.Time) {
-	m.put(now, print, first)
-	m.recent = append(m.recent, recent{print: print, at: now})
+func (m *memory) note(now time.Time, fingerprint uint64, first time.Time) {
+	m.put(now, fingerprint, first)
+	m.recent = append(m.recent, recent{fingerprint: fingerprint, at: now})
 }
 
-func (m *memory) put(now time.Time, print uint64, first time.Time) {
+func (m *memory) put(now time.Time, fingerprint uint64, first time.Time) {
 	if m.first == nil {
 		m.first = make(map[uint64]time.Time)
 	}
-	if at, known := m.first[print]; !known || first.Before(at) || now.Sub(at) > rememberFor {
-		m.first[print] = first
+	if at, known := m.first[fingerprint]; !known || first.Before(at) || now.Sub(at) > rememberFor {
+		m.first[fingerprint] = first
 	}
 	if now.Sub(m.swept) < rememberFor/4 {
 		return
@@ -79,8 +79,8 @@
 }
 
 // since returns when a request was first sent, now if it wasn't refused before.
-func (m *memory) since(now time.Time, print uint64) time.Time {
-	if at, known := m.first[print]; known && now.Sub(at) <= rememberFor {
+func (m *memory) since(now time.Time, fingerprint uint64) time.Time {
+	if at, known := m.first[fingerprint]; known && now.Sub(at) <= rememberFor {
 		return at
 	}
 	return now
@@ -93,8 +93,8 @@
 	}
 	var out []Refused
 	for _, r := range m.recent {
-		if at, known := m.first[r.print]; known {
-			out = append(out, Refused{Print: r.print, Age: now.Sub(at)})
+		if at, known := m.first[r.fingerprint]; known {
+			out = append(out, Refused{Fingerprint: r.fingerprint, Age: now.Sub(at)})
 		}
 	}
 	return out
--- a/internal/traffic/dispatch/table.go
+++ b/internal/traffic/dispatch/table.go
@@ -212,7 +212,7 @@
 	if hopeless(now, w) {
 		return nil, nil, RefusedLate
 	}
-	first := t.memory.since(w.Sent, w.Print)
+	first := t.memory.since(w.Sent, w.Fingerprint)
 	f := t.field(now, g)
 	x := newWaiter(now, w, first, first.Add(w.Objective-soonest(g, w)))
 	pressing := t.pressing(now, w.Service, g)
@@ -275,7 +275,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	t.memory.note(now, w.Print, t.memory.since(w.Sent, w.Print))
+	t.memory.note(now, w.Fingerprint, t.memory.since(w.Sent, w.Fingerprint))
 	pressing := 0
 	if g := t.services[w.Service]; g != nil {
 		pressing = t.pressing(now, w.Service, g)
--- a/internal/traffic/sharing/message.go
+++ b/internal/traffic/sharing/message.go
@@ -67,7 +67,7 @@
 		some := refused[min(len(refused), i*mostRefused):min(len(refused), (i+1)*mostRefused)]
 		b = binary.AppendUvarint(b, uint64(len(some)))
 		for _, x := range some {
-			b = binary.BigEndian.AppendUint64(b, x.Print)
+			b = binary.BigEndian.AppendUint64(b, x.Fingerprint)
 			b = binary.AppendUvarint(b, uint64(max(0, x.Age.Milliseconds())))
 		}
 		out = append(out, b)
@@ -299,11 +299,11 @@
 		if r.err != nil {
 			break
 		}
-		print, age := r.hash(), r.number()
+		fingerprint, age := r.hash(), r.number()
 		if age > mostCount {
 			r.fail("an age is out of bounds")
 		}
-		p.news.Refused = append(p.news.Refused, dispatch.Refused{Print: print, Age: time.Duration(age) * time.Millisecond})
+		p.news.Refused = append(p.news.Refused, dispatch.Refused{Fingerprint: fingerprint, Age: time.Duration(age) * time.Millisecond})
 	}
 	return p, r.err
 }
--- a/internal/traffic/sharing/sharing_test.go
+++ b/internal/traffic/sharing/sharing_test.go
@@ -22,7 +22,7 @@
 		n.Loads = append(n.Loads, dispatch.Load{Endpoint: uint64(i) << 40, Running: i % 17, Unread: i * 100})
 	}
 	for i := range refused {
-		n.Refused = append(n.Refused, dispatch.Refused{Print: uint64(i) << 50, Age: time.Duration(i) * time.Millisecond})
+		n.Refused = append(n.Refused, dispatch.Refused{Fingerprint: uint64(i) << 50, Age: time.Duration(i) * time.Millisecond})
 	}
 	return n
 }
