--- a/internal/fleet/catalogue/table_test.go
+++ b/internal/fleet/catalogue/table_test.go
@@ -1,9 +1,7 @@
 package catalogue
 
 import (
-	"bufio"
 	"fmt"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -11,27 +9,14 @@
 
 	"fulmardeal"
 	"fulmardeal/internal/fleet/feed"
+	"fulmardeal/internal/proof/script"
 )
 
 // TestScript runs testdata/table.txt: changes, and what must hold after them.
 func TestScript(t *testing.T) {
-	f, err := os.Open("testdata/table.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
 	var table Table
 	now := time.Unix(1000, 0)
-	scan := bufio.NewScanner(f)
-	for n := 1; scan.Scan(); n++ {
-		words := strings.Fields(scan.Text())
-		if len(words) == 0 || words[0] == "#" {
-			continue
-		}
-		if err := step(&table, &now, words); err != nil {
-			t.Errorf("line %d: %s: %v", n, scan.Text(), err)
-		}
-	}
+	script.Run(t, "testdata/table.txt", func(words []string) error { return step(&table, &now, words) })
 }
 
 // step runs one line of the script.
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -1,9 +1,7 @@
 package roster
 
 import (
-	"bufio"
 	"fmt"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -11,28 +9,15 @@
 
 	"fulmardeal"
 	"fulmardeal/internal/fleet/feed"
+	"fulmardeal/internal/proof/script"
 )
 
 // TestScript runs testdata/roster.txt: batches, and the list that must follow.
 func TestScript(t *testing.T) {
-	f, err := os.Open("testdata/roster.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
 	var r Roster
 	start := time.Unix(1000, 0)
 	now := start
-	scan := bufio.NewScanner(f)
-	for n := 1; scan.Scan(); n++ {
-		words := strings.Fields(scan.Text())
-		if len(words) == 0 || words[0] == "#" {
-			continue
-		}
-		if err := step(&r, start, &now, words); err != nil {
-			t.Errorf("line %d: %s: %v", n, scan.Text(), err)
-		}
-	}
+	script.Run(t, "testdata/roster.txt", func(words []string) error { return step(&r, start, &now, words) })
 }
 
 // step runs one line: "at SECONDS", "batch [whole] [silence=SECONDS] CHANGE...",
