--- a/internal/fleet/feed/follower_test.go
+++ b/internal/fleet/feed/follower_test.go
@@ -62,6 +62,12 @@
 	}
 }
 
+func (s *store) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 func (s *store) set(f func(s *store)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -131,9 +137,9 @@
 	follow(t, time.Second, func(s *store, _ *Follower, _ func() (fulmardeal.Offset, Batch)) {
 		s.set(func(s *store) { s.silent = true })
 		time.Sleep(10 * time.Second)
-		before := s.calls
+		before := s.count()
 		time.Sleep(10 * time.Second)
-		if n := s.calls - before; n > 15 {
+		if n := s.count() - before; n > 15 {
 			t.Errorf("%d calls in 10 s of silence, want at most 15", n)
 		}
 	})
