weights/chunk: candidates take over a chunk one after the other

When the importers of a chunk die, all others see the same silence at the same moment, and each draws the chunk from the origin for itself; the same when dead importers leave the list, and when the origin comes and goes. Candidates now wait for those before them, by rank in their region and by place of the region in the chunk's chain, and agents that are no candidates by chance.

Ruled out: counting silence only since the origin last refused this agent. It mends neither the case without a refusal nor the one in which the list changes.

TestTakeOver fails without the change (5 to 8 copies drawn, of one a region).

--- a/internal/weights/chunk/exchange.go
+++ b/internal/weights/chunk/exchange.go
@@ -246,7 +246,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.C:
-		case <-s.changed():
+		case <-s.ended():
 		}
 	}
 	return nil
--- a/internal/weights/chunk/pace.go
+++ b/internal/weights/chunk/pace.go
@@ -7,6 +7,7 @@
 	AskLeast     time.Duration // between two questions to a neighbour
 	AskEach      time.Duration // that time for each of the neighbours
 	Stalled      time.Duration // without any new chunk, after which a candidate is passed over by the next one
+	Turn         time.Duration // by which candidates that would take over wait for each other; longer than a fetch takes
 	FreshFor     time.Duration // how long a bitmap tells whether its peer has stalled
 	Desperate    time.Duration // without any new chunk, after which an agent doesn't leave imports to their candidates
 	FetchTimeout time.Duration // of one chunk
@@ -25,6 +26,7 @@
 	AskLeast:     100 * time.Millisecond,
 	AskEach:      15 * time.Millisecond,
 	Stalled:      5 * time.Second,
+	Turn:         time.Second,
 	FreshFor:     2 * time.Second,
 	Desperate:    20 * time.Second,
 	FetchTimeout: 30 * time.Second,
@@ -45,6 +47,7 @@
 	AskLeast:     60 * time.Millisecond,
 	AskEach:      6 * time.Millisecond,
 	Stalled:      700 * time.Millisecond,
+	Turn:         150 * time.Millisecond,
 	FreshFor:     400 * time.Millisecond,
 	Desperate:    2500 * time.Millisecond,
 	FetchTimeout: 3 * time.Second,
--- a/internal/weights/chunk/plan.go
+++ b/internal/weights/chunk/plan.go
@@ -91,7 +91,7 @@
 		if f, ok := s.from(now, w.index, func(p *peer) bool { return p.Region == before }); ok {
 			return f, ok
 		}
-		if !s.late(now, chain[:at]) {
+		if !s.late(now, chain[:at], slices.Index(s.imports[w.index], s.self.Incarnation)) {
 			return Fetch{}, false
 		}
 		if f, ok := s.from(now, w.index, func(*peer) bool { return true }); ok {
@@ -156,21 +156,31 @@
 // it is the first candidate, or every candidate before it has stalled. An agent
 // that is no candidate takes over only when nothing has come for a long time.
 func (s *Swarm) responsible(now time.Time, index int) bool {
+	rank := slices.Index(s.imports[index], s.self.Incarnation)
 	for _, key := range s.imports[index] {
 		if key == s.self.Incarnation {
 			return true
 		}
-		if p := s.peer(key); p != nil && !s.stalled(now, p) {
+		if p := s.peer(key); p != nil && !s.stalled(now, p, rank) {
 			return false
 		}
 	}
-	return now.Sub(s.gained) > s.pace.Desperate
+	return now.Sub(s.gained) > s.patience
 }
 
-// stalled reports whether a peer is known to have had no new chunk for a while.
-// Of a peer that was not asked lately nothing is known: it is to be asked.
-func (s *Swarm) stalled(now time.Time, p *peer) bool {
-	if now.Sub(p.gained) <= s.pace.Stalled || now.Sub(s.began) <= s.pace.Stalled {
+// turns is how long an agent waits that has others before it. When the importers
+// of a chunk die, leave the list or are refused by the origin, all others see it
+// at the same moment, and would all draw the chunk at once.
+func (s *Swarm) turns(before int) time.Duration {
+	return time.Duration(max(0, before)) * s.pace.Turn
+}
+
+// stalled reports whether a peer is known to have had no new chunk for a while
+// and the turns of the others before this agent. Of a peer that was not asked
+// lately nothing is known: it is to be asked.
+func (s *Swarm) stalled(now time.Time, p *peer, before int) bool {
+	most := s.pace.Stalled + s.turns(before-1)
+	if now.Sub(p.gained) <= most || now.Sub(s.began) <= most || now.Sub(s.changed) <= s.turns(before) {
 		return false
 	}
 	if now.Sub(p.learned) > s.pace.FreshFor {
@@ -182,13 +192,14 @@
 
 // late reports whether the regions before this one in a chunk's chain have had
 // no new chunk for a while, as far as is known, so that it must come from
-// elsewhere.
-func (s *Swarm) late(now time.Time, before []string) bool {
-	if now.Sub(s.gained) <= s.pace.Stalled {
+// elsewhere. Rank is this agent's among the candidates of its region.
+func (s *Swarm) late(now time.Time, regions []string, rank int) bool {
+	before := len(regions) + max(0, rank)
+	if now.Sub(s.gained) <= s.pace.Stalled+s.turns(before-1) || now.Sub(s.changed) <= s.turns(before) {
 		return false
 	}
 	for _, p := range s.peers {
-		if slices.Contains(before, p.Region) && p.near && !s.stalled(now, p) {
+		if slices.Contains(regions, p.Region) && p.near && !s.stalled(now, p, before) {
 			return false
 		}
 	}
--- a/internal/weights/chunk/swarm.go
+++ b/internal/weights/chunk/swarm.go
@@ -46,6 +46,10 @@
 	slowWay    = 150 * time.Millisecond
 	slowWait   = 200 * time.Millisecond
 
+	// desperateSpread is the part of a pace's Desperate over which agents that
+	// are no candidates take over, so that they don't all do it at once.
+	desperateSpread = 0.5
+
 	// aroundWeight divides the weight of one question in a mean.
 	aroundWeight = 8
 )
@@ -113,7 +117,9 @@
 	around   time.Duration // mean time of a question inside the region
 	corrupt  int
 	drawn    int64
-	resting  bool // the origin is not to be asked in the next tick
+	patience time.Duration // without any new chunk, after which this agent imports out of turn
+	resting  bool          // the origin is not to be asked in the next tick
+	changed  time.Time     // when a peer last left the list, or the origin last failed this agent
 	askEvery time.Duration
 	roamed   time.Time     // when strangers were last asked
 	wake     chan struct{} // has a token when a fetch has ended
@@ -123,9 +129,8 @@
 // region of the origin; when it is empty, the chunks' first regions are hashed
 // too.
 func NewSwarm(m *manifest.Manifest, self Peer, home string, now time.Time, seed uint64, book *invariant.Book) *Swarm {
-	return &Swarm{
+	s := &Swarm{
 		book:     book,
-		pace:     Steady,
 		manifest: m,
 		self:     self,
 		home:     home,
@@ -133,16 +138,20 @@
 		began:    now,
 		gained:   now,
 		has:      NewBitmap(m.Chunks()),
-		window:   Steady.FarMost / 2,
 		wake:     make(chan struct{}, 1),
 	}
+	s.SetPace(Steady)
+	return s
 }
 
 // SetPace sets the times of the swarm; it is called before any other method.
-func (s *Swarm) SetPace(p Pace) { s.pace, s.window = p, max(p.FarLeast, p.FarMost/2) }
+func (s *Swarm) SetPace(p Pace) {
+	s.pace, s.window = p, max(p.FarLeast, p.FarMost/2)
+	s.patience = p.Desperate + time.Duration(s.random.Float64()*desperateSpread*float64(p.Desperate))
+}
 
-// changed returns a channel that has a token when a fetch has ended.
-func (s *Swarm) changed() <-chan struct{} { return s.wake }
+// ended returns a channel that has a token when a fetch has ended.
+func (s *Swarm) ended() <-chan struct{} { return s.wake }
 
 // rest keeps the next tick away from the origin.
 func (s *Swarm) rest() {
@@ -201,6 +210,9 @@
 	if s.chains != nil && slices.EqualFunc(next, s.peers, func(a, b *peer) bool { return a == b }) {
 		return
 	}
+	if slices.ContainsFunc(s.peers, func(p *peer) bool { return !slices.Contains(next, p) }) {
+		s.changed = now
+	}
 	s.peers = next
 	s.recount()
 	s.chain()
@@ -385,6 +397,7 @@
 		s.corrupt++
 	}
 	if f.Peer == nil {
+		s.changed = now
 		return
 	}
 	if p := s.peer(f.Peer.Incarnation); p != nil {
--- a/internal/weights/chunk/swarm_test.go
+++ b/internal/weights/chunk/swarm_test.go
@@ -195,6 +195,33 @@
 	})
 }
 
+// TestTakeOver kills the importer of the only chunk, and then takes it from the
+// list: the others wait for each other, also when the origin comes and goes,
+// and one of them draws the chunk.
+func TestTakeOver(t *testing.T) {
+	for _, n := range []int{4, 6, 7, 9, 12} {
+		for _, flapping := range []bool{false, true} {
+			m := newModel(t, n, 1, 0)
+			m.step(true)
+			m.dead[m.moving[0].to] = true
+			for range 60 {
+				m.down = flapping && !m.down
+				m.step(true)
+			}
+			m.down = false
+			for i := 0; !m.whole(); i++ {
+				if i > 300 {
+					t.Fatalf("%d agents, origin flapping %t: not whole after 30 s", n, flapping)
+				}
+				m.step(false)
+			}
+			if m.drawn > 3 {
+				t.Errorf("%d agents, origin flapping %t: %d copies drawn, one a region at most", n, flapping, m.drawn)
+			}
+		}
+	}
+}
+
 func (m *model) progress() []Progress {
 	var out []Progress
 	for _, s := range m.swarms {
