proof/soak, standin/site: a soak that disturbs the real programs

Entries and agents run as separate processes on loopback addresses, beside a stand-in of the users' platform: store, origin, engines with staged chunks, plain endpoints, a proxy on each way to an endpoint and from each process to the store. A plan of faults follows from the seed; a judge checks twenty promises by what callers and endpoints see.

That the checks can fail is not shown yet.

--- a/internal/cli/command/command.go
+++ b/internal/cli/command/command.go
@@ -116,6 +116,7 @@
 		{"agent", "Run the agent beside an endpoint", agentHelp, &agentCommand{env: env}},
 		{"gateway", "Run an entry on the users' platform", gatewayHelp, &gatewayCommand{env: env}},
 		{"loader", "Run the agent beside an engine on the users' platform", loaderHelp, &loaderCommand{env: env}},
+		{"soak", "Disturb the system on a stand-in of the platform, and check what it promises", soakHelp, &soakCommand{env: env}},
 		{"explain", "Tell one request's story from logs", explainHelp, &explain{env: env}},
 		{"standin", "Run a stand-in of the platform or an endpoint", standinHelp, &standin{env: env}},
 		{"check", "Check files of the configuration", checkHelp, &check{env: env}},
--- /dev/null
+++ b/internal/cli/command/soak.go
@@ -0,0 +1,101 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"fulmardeal/internal/proof/soak"
+)
+
+const soakHelp = `Runs entries and agents as separate processes against a stand-in of the users'
+platform, all on loopback addresses, and disturbs them from outside: signals,
+connections that are delayed, reset, cut one way or silent, endpoints that crash,
+leave or misbehave, a store that fails, configurations and versions that change.
+The faults follow from the seed. What callers and endpoints see is checked all the
+while; the first line of each breach names the promise and the request. Logs of a
+run with a breach are kept; explain reads them.
+
+Examples:
+  fulmardeal soak --seed 7
+  fulmardeal soak --seed 1 --runs 50 --report soak.json
+  fulmardeal soak --entries 60 --engines 120 --plain 20 --callers 300`
+
+// soakCommand runs the system under faults.
+type soakCommand struct {
+	env         *environment
+	Seed        uint64        `long:"seed" description:"Seed of the first run's faults" default:"1"`
+	Runs        int           `long:"runs" description:"Number of runs, with seeds that follow each other" default:"1"`
+	For         time.Duration `long:"for" description:"How long faults happen in a run" default:"20s"`
+	Entries     int           `long:"entries" description:"Number of entries" default:"3"`
+	Engines     int           `long:"engines" description:"Number of model engines, each with an agent" default:"4"`
+	Plain       int           `long:"plain" description:"Number of plain endpoints" default:"8"`
+	DataCentres int           `long:"datacentres" description:"Number of data centres, each in a region of its own" default:"2"`
+	Callers     int           `long:"callers" description:"Number of callers" default:"12"`
+	Report      string        `long:"report" description:"Write the report there, in JSON" value-name:"FILE"`
+}
+
+// Execute makes the runs.
+func (c *soakCommand) Execute([]string) error {
+	if c.DataCentres < 1 || c.DataCentres > 26 || c.Entries < 1 || c.Engines < c.DataCentres || c.Plain < 2*c.DataCentres || c.Callers < 1 || c.Runs < 1 {
+		return errors.New("soak: there must be 1 to 26 data centres, 1 entry, 1 caller and 1 run or more, 1 engine and 2 plain endpoints in each data centre")
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var reports []soak.Report
+	broken := 0
+	for i := range uint64(c.Runs) {
+		r, err := c.run(ctx, self, c.Seed+i)
+		if err != nil {
+			return err
+		}
+		reports = append(reports, r)
+		broken += len(r.Breaches)
+	}
+	if err := writeReport(c.Report, reports); err != nil {
+		return err
+	}
+	if broken > 0 {
+		return fmt.Errorf("soak: %d breaches", broken)
+	}
+	return nil
+}
+
+// run makes one run. Its logs stay when something was broken.
+func (c *soakCommand) run(ctx context.Context, self string, seed uint64) (soak.Report, error) {
+	dir, remove, err := soak.Logs(seed)
+	if err != nil {
+		return soak.Report{}, err
+	}
+	out := io.Discard
+	if c.env.global.Verbose {
+		out = c.env.out
+	}
+	r, err := soak.Run(ctx, soak.Options{
+		Seed: seed, Length: c.For, Callers: c.Callers, Starter: soak.Program{Path: self, Dir: dir}, Logs: dir, Out: out,
+		Shape: soak.Shape{Entries: c.Entries, Engines: c.Engines, Plain: c.Plain, DataCentres: c.DataCentres},
+	})
+	if err != nil {
+		return r, err
+	}
+	fmt.Fprintf(c.env.out, "seed=%d faults=%d sent=%d served=%d refused=%d failed=%d left=%d breaches=%d\n",
+		r.Seed, r.Faults, r.Counts.Sent, r.Counts.Served, r.Counts.Refused, r.Counts.Failed, r.Counts.Left, len(r.Breaches))
+	if len(r.Breaches) == 0 {
+		remove()
+		return r, nil
+	}
+	for _, b := range r.Breaches {
+		fmt.Fprintln(c.env.out, b)
+	}
+	fmt.Fprintf(c.env.out, "logs=%s\n", dir)
+	return r, nil
+}
--- /dev/null
+++ b/internal/proof/soak/plan.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Cause is a kind of fault.
+type Cause string
+
+// The faults.
+const (
+	CauseKill       Cause = "kill"       // of an entry or agent, which is started again
+	CauseTerminate  Cause = "terminate"  // the same, by SIGTERM
+	CausePause      Cause = "pause"      // by SIGSTOP and SIGCONT
+	CauseReload     Cause = "reload"     // SIGHUP
+	CauseStoreDown  Cause = "store-down" // for all
+	CauseStoreMute  Cause = "store-mute"
+	CauseStoreSlow  Cause = "store-slow"
+	CauseStoreLossy Cause = "store-lossy"
+	CauseCutStore   Cause = "cut-store"     // between the store and one process
+	CauseCrash      Cause = "crash"         // of an endpoint, which starts again
+	CausePower      Cause = "power"         // the same, and what it had staged is lost
+	CauseDrain      Cause = "drain"         // of an endpoint, which starts again
+	CauseSlow       Cause = "slow"          // an endpoint
+	CauseCutAnswers Cause = "cut-answers"   // of an endpoint
+	CauseHang       Cause = "hang"          // an endpoint
+	CauseDelay      Cause = "delay"         // on the way to an endpoint
+	CauseReset      Cause = "reset"         // connections to an endpoint
+	CauseOneWay     Cause = "one-way"       // nothing reaches an endpoint
+	CauseOtherWay   Cause = "other-way"     // nothing comes from an endpoint
+	CauseRefuse     Cause = "refuse"        // an endpoint's new connections are reset
+	CauseConfig     Cause = "configuration" // the operator moves a route or takes a key
+	CauseEvacuate   Cause = "evacuate"      // a data centre
+	CauseName       Cause = "name"          // a version of the weights
+	CauseAll        Cause = "kill-all"      // of entries and agents at once
+)
+
+// aim is what a cause may strike.
+type aim int
+
+const (
+	aimNothing aim = iota
+	aimProcess
+	aimEndpoint
+	aimDataCentre
+)
+
+// causes are the faults with what they strike and how often they are drawn.
+var causes = []struct {
+	cause  Cause
+	aim    aim
+	weight int
+}{
+	{CauseKill, aimProcess, 4},
+	{CauseTerminate, aimProcess, 4},
+	{CausePause, aimProcess, 4},
+	{CauseReload, aimProcess, 1},
+	{CauseStoreDown, aimNothing, 2},
+	{CauseStoreMute, aimNothing, 2},
+	{CauseStoreSlow, aimNothing, 1},
+	{CauseStoreLossy, aimNothing, 2},
+	{CauseCutStore, aimProcess, 3},
+	{CauseCrash, aimEndpoint, 4},
+	{CausePower, aimEndpoint, 2},
+	{CauseDrain, aimEndpoint, 4},
+	{CauseSlow, aimEndpoint, 2},
+	{CauseCutAnswers, aimEndpoint, 3},
+	{CauseHang, aimEndpoint, 2},
+	{CauseDelay, aimEndpoint, 2},
+	{CauseReset, aimEndpoint, 3},
+	{CauseOneWay, aimEndpoint, 3},
+	{CauseOtherWay, aimEndpoint, 3},
+	{CauseRefuse, aimEndpoint, 2},
+	{CauseConfig, aimNothing, 4},
+	{CauseEvacuate, aimDataCentre, 2},
+	{CauseName, aimNothing, 3},
+	{CauseAll, aimNothing, 1},
+}
+
+// Fault is one disturbance.
+type Fault struct {
+	At     time.Duration // from the start
+	For    time.Duration
+	Cause  Cause
+	Target int // index of what it strikes
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("at=%s for=%s cause=%s target=%d", f.At, f.For, f.Cause, f.Target)
+}
+
+const (
+	meanPause = 700 * time.Millisecond // between two faults of a plan
+	leastFor  = 200 * time.Millisecond
+	mostFor   = 4 * time.Second
+	seriesOf  = 3 // faults of the same kind in quick succession, now and then
+	seriesOdd = 6 // one fault in so many begins a series
+)
+
+// Shape is the size of the system under test.
+type Shape struct {
+	Entries     int
+	Engines     int // each with an agent
+	Plain       int // endpoints without agents
+	DataCentres int
+}
+
+// targets returns how many things an aim may strike.
+func (s Shape) targets(a aim) int {
+	switch a {
+	case aimProcess:
+		return s.Entries + s.Engines
+	case aimEndpoint:
+		return s.Engines + s.Plain
+	case aimDataCentre:
+		return s.DataCentres
+	}
+	return 1
+}
+
+// Plan draws the faults of a run: the same for the same seed, shape and length.
+// Faults overlap, and some come in series.
+func Plan(seed uint64, s Shape, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 0))
+	total := 0
+	for _, c := range causes {
+		total += c.weight
+	}
+	var out []Fault
+	for at := meanPause; at < length; at += time.Duration(random.ExpFloat64() * float64(meanPause)) {
+		draw, i := random.IntN(total), 0
+		for draw >= causes[i].weight {
+			draw -= causes[i].weight
+			i++
+		}
+		n := 1
+		if random.IntN(seriesOdd) == 0 {
+			n = seriesOf
+		}
+		for k := range n {
+			out = append(out, Fault{
+				At:     (at + time.Duration(k)*leastFor).Round(time.Millisecond),
+				For:    (leastFor + time.Duration(random.Float64()*float64(mostFor-leastFor))).Round(time.Millisecond),
+				Cause:  causes[i].cause,
+				Target: random.IntN(s.targets(causes[i].aim)),
+			})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
+	return out
+}
--- /dev/null
+++ b/internal/proof/soak/soak.go
@@ -0,0 +1,152 @@
+// Package soak runs the real programs as separate processes on loopback
+// addresses, disturbs them from outside by a plan that follows from a seed, and
+// checks what the system promises by what callers and endpoints see.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/platform"
+)
+
+// Options are what a run is made from.
+type Options struct {
+	Seed    uint64
+	Length  time.Duration // of the part with faults
+	Shape   Shape
+	Callers int
+	Starter Starter
+	Logs    string    // directory of the processes' logs
+	Out     io.Writer // for the plan, a line a fault
+}
+
+// Report is what a run found.
+type Report struct {
+	Seed     uint64   `json:"seed"`
+	Faults   int      `json:"faults"`
+	Counts   Counts   `json:"counts"`
+	Breaches []Breach `json:"breaches"`
+}
+
+const (
+	startWait = 10 * time.Second // until the system serves, after its start
+	countFor  = 3 * time.Second  // over which service before and after the faults is compared
+	drawOdd   = 0x5eed           // parts the draws of faults from those of the plan
+)
+
+// Run makes one run. It ends all that it started, also when the context ends.
+func Run(ctx context.Context, o Options) (Report, error) {
+	plan := Plan(o.Seed, o.Shape, o.Length)
+	w, err := newWorld(o.Shape, o.Starter, o.Logs)
+	defer w.close()
+	if err != nil {
+		return Report{}, err
+	}
+	done := make(chan struct{})
+	var background sync.WaitGroup
+	defer background.Wait()
+	defer close(done)
+	w.write(platform.ConfigRecord(&w.current))
+	w.write(platform.NamingRecord(fulmardeal.Naming{Model: modelName, Version: w.weights}))
+	background.Go(func() { w.beats(done) })
+	defer w.fleet.close()
+	for i := range w.fleet.members {
+		if err := w.fleet.start(i); err != nil {
+			return Report{}, err
+		}
+	}
+	background.Go(func() { w.fleet.watch(done) })
+	if err := w.awaitReady(ctx); err != nil {
+		return Report{}, err
+	}
+
+	calling, stop := context.WithCancel(ctx)
+	defer stop()
+	var callers sync.WaitGroup
+	for i := range o.Callers {
+		callers.Go(func() { newCaller(w, i, o.Seed).run(calling) })
+	}
+	before := w.serves(ctx)
+	w.play(ctx, plan, o)
+	pause(ctx, boundRecover-countFor)
+	if after := w.serves(ctx); ctx.Err() == nil && after < recoveredPart*before {
+		w.judge.breach(PromiseRecovery, "%.2f of the requests served %v after the faults, %.2f before", after, boundRecover, before)
+	}
+	stop()
+	callers.Wait()
+	counts, breaches := w.judge.Verdict()
+	return Report{Seed: o.Seed, Faults: len(plan), Counts: counts, Breaches: breaches}, ctx.Err()
+}
+
+// awaitReady waits until all entries are in rotation.
+func (w *world) awaitReady(ctx context.Context) error {
+	until := time.Now().Add(startWait)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		ready := 0
+		for _, m := range w.fleet.members[:w.shape.Entries] {
+			m.mu.Lock()
+			if m.ready {
+				ready++
+			}
+			m.mu.Unlock()
+		}
+		if ready == w.shape.Entries {
+			return nil
+		}
+		pause(ctx, readyEvery)
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return fmt.Errorf("not all of %d entries are ready after %v: their logs are in %s", w.shape.Entries, startWait, w.fleet.dir)
+}
+
+// serves returns the part of the requests that is served in the next seconds.
+func (w *world) serves(ctx context.Context) float64 {
+	count := func() Counts {
+		w.judge.mu.Lock()
+		defer w.judge.mu.Unlock()
+		return w.judge.counts
+	}
+	a := count()
+	pause(ctx, countFor)
+	b := count()
+	return float64(b.Served-a.Served) / max(1, float64(b.Sent-a.Sent))
+}
+
+// play makes the faults of a plan happen, each at its time, and returns when all
+// have ended.
+func (w *world) play(ctx context.Context, plan []Fault, o Options) {
+	begun := time.Now()
+	var faults sync.WaitGroup
+	defer faults.Wait()
+	for i, f := range plan {
+		pause(ctx, f.At-time.Since(begun))
+		if ctx.Err() != nil {
+			return
+		}
+		fmt.Fprintln(o.Out, f)
+		random := rand.New(rand.NewPCG(o.Seed^drawOdd, uint64(i)))
+		faults.Go(func() { w.strike(f, random) })
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Logs makes a directory for a run's logs. The returned function removes it.
+func Logs(seed uint64) (string, func(), error) {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("fulmardeal-soak-%d-", seed))
+	return dir, func() { os.RemoveAll(dir) }, err
+}
--- /dev/null
+++ b/internal/standin/site/endpoint.go
@@ -0,0 +1,405 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/platform"
+)
+
+// Arrival is a request as an endpoint got it.
+type Arrival struct {
+	Endpoint   fulmardeal.Registration
+	Time       time.Time
+	Method     string
+	Path       string
+	Body       []byte
+	Key        string // a customer's key, which must not be passed on
+	Attempt    string
+	Forward    fulmardeal.Forward
+	Version    int64 // of the weights that answer
+	Incomplete bool  // a chunk of those weights is missing or wrong
+}
+
+// Witness sees what endpoints do.
+type Witness interface {
+	Arrived(a Arrival) // at the endpoint that it names
+	Began(a Arrival)   // it runs
+}
+
+// Trouble is how an endpoint misbehaves.
+type Trouble string
+
+// The troubles.
+const (
+	TroubleNone Trouble = ""
+	TroubleSlow Trouble = "slow" // everything takes five times as long
+	TroubleCut  Trouble = "cut"  // every third answer is cut off in its middle
+	TroubleHang Trouble = "hang" // every third request is never answered
+)
+
+const (
+	slowness     = 5
+	troubleEvery = 3
+	mostBody     = 4 << 20 // bytes
+	mostWaiting  = 2       // requests that wait for a slot
+	eventsOf     = 12      // events of a stream
+)
+
+// EndpointOptions describe an endpoint.
+type EndpointOptions struct {
+	Service    string
+	DataCentre string
+	Address    string // at which it is registered
+	Listen     string // where it listens, behind a proxy
+	Slots      int
+	Work       time.Duration // of a plain request, or between two events
+	Cold       time.Duration // after its start
+	Engine     *fulmardeal.EngineSpec
+	Origin     *Origin // of the engine's weights
+	Witness    Witness
+}
+
+// Endpoint is one endpoint of a service, with its engine if it has one. Each
+// start gives it a new id.
+type Endpoint struct {
+	options EndpointOptions
+
+	mu       sync.Mutex
+	server   *http.Server
+	up       bool
+	leaving  bool
+	starts   int
+	sequence int64
+	born     time.Time
+	trouble  Trouble
+	requests int
+	running  int
+	waiting  int
+	free     chan struct{} // closed when a slot is free or the engine has loaded
+
+	staged  map[int][]byte
+	spans   []fulmardeal.Span
+	wrong   bool // what is loaded differs from the origin's
+	loading bool
+	orders  int64
+}
+
+// NewEndpoint returns an endpoint that has not started. An engine that holds
+// version 1 from the start has it staged too.
+func NewEndpoint(o EndpointOptions, holds bool) *Endpoint {
+	e := &Endpoint{options: o, staged: make(map[int][]byte), free: make(chan struct{})}
+	if holds && o.Engine != nil {
+		chunks, _ := o.Origin.Chunks(fulmardeal.Version{Name: "1"})
+		for i, c := range chunks {
+			e.staged[i] = c
+		}
+		e.spans = []fulmardeal.Span{{From: 0, To: o.Engine.Layers, Version: 1}}
+	}
+	return e
+}
+
+// Start makes the endpoint listen.
+func (e *Endpoint) Start() error {
+	l, err := net.Listen("tcp", e.options.Listen)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.starts++
+	e.up, e.leaving, e.born = true, false, time.Now()
+	var h http.Handler = http.HandlerFunc(e.serve)
+	if e.options.Engine != nil {
+		h = platform.EngineHandler(e, h)
+	}
+	e.server = &http.Server{Handler: h}
+	go func(s *http.Server) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			panic(err) // the listener is this endpoint's own
+		}
+	}(e.server)
+	return nil
+}
+
+// Crash ends the endpoint at once. What is staged survives a crash, but not a
+// loss of power; layers survive neither.
+func (e *Endpoint) Crash(power bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.up {
+		return
+	}
+	e.up, e.spans, e.loading, e.orders, e.running, e.waiting = false, nil, false, 0, 0, 0
+	if power {
+		e.staged = make(map[int][]byte)
+	}
+	e.freed()
+	e.server.Close()
+}
+
+// Drain makes the endpoint say that it is leaving.
+func (e *Endpoint) Drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// SetTrouble makes the endpoint misbehave, or stop to.
+func (e *Endpoint) SetTrouble(t Trouble) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.trouble = t
+}
+
+// Registration returns what the endpoint says of itself, and whether it is up.
+func (e *Endpoint) Registration() (fulmardeal.Registration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	r := e.registration()
+	return r, e.up
+}
+
+func (e *Endpoint) registration() fulmardeal.Registration {
+	o := e.options
+	return fulmardeal.Registration{
+		ID: fmt.Sprintf("%s-%d", o.Address, e.starts), Service: o.Service, Address: o.Address, DataCentre: o.DataCentre, Slots: o.Slots,
+		Draining: e.leaving, ColdLeft: max(0, o.Cold-time.Since(e.born)), Sequence: e.sequence, Born: e.born, Engine: o.Engine != nil, Spans: e.spans,
+	}
+}
+
+// serve answers a request of a caller.
+func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, mostBody))
+	if err != nil {
+		return // the caller has left
+	}
+	facts, forward := platform.Counterpart{}.ReadForward(r.Header)
+	ctx, cancel := context.WithTimeout(r.Context(), forward.Deadline)
+	defer cancel()
+	a := Arrival{Time: time.Now(), Method: r.Method, Path: r.URL.RequestURI(), Body: body, Key: facts.Key, Attempt: facts.Attempt, Forward: forward}
+	refusal := e.enter(ctx, &a)
+	reply := fulmardeal.Reply{Attempt: a.Attempt, Instance: a.Endpoint.ID, Weights: a.Version, Running: -1}
+	if refusal != 0 {
+		reply.NotRun = true
+		platform.Counterpart{}.WriteReply(w.Header(), reply, "")
+		w.WriteHeader(refusal)
+		return
+	}
+	defer e.leave()
+	e.options.Witness.Began(a)
+	e.run(ctx, w, a, reply)
+}
+
+// enter waits for a slot, and returns the status of a refusal, or 0.
+func (e *Endpoint) enter(ctx context.Context, a *Arrival) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a.Endpoint = e.registration()
+	if !e.up || a.Forward.Instance != a.Endpoint.ID {
+		return http.StatusMisdirectedRequest
+	}
+	e.options.Witness.Arrived(*a)
+	if e.waiting >= mostWaiting {
+		return http.StatusServiceUnavailable
+	}
+	starts := e.starts
+	for e.running >= e.options.Slots || e.loading {
+		e.waiting++
+		free := e.free
+		e.mu.Unlock()
+		select {
+		case <-free:
+		case <-ctx.Done():
+		}
+		e.mu.Lock()
+		if starts != e.starts || !e.up {
+			return http.StatusServiceUnavailable
+		}
+		e.waiting--
+		if ctx.Err() != nil {
+			return http.StatusServiceUnavailable
+		}
+	}
+	if spec := e.options.Engine; spec != nil {
+		a.Version, a.Incomplete = fulmardeal.Holds(e.spans, spec.Layers), e.wrong
+		if a.Version == 0 || a.Forward.Weights != 0 && a.Forward.Weights != a.Version {
+			return http.StatusMisdirectedRequest
+		}
+	}
+	a.Time = time.Now()
+	e.running++
+	return 0
+}
+
+func (e *Endpoint) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running = max(0, e.running-1)
+	e.freed()
+}
+
+// freed wakes those that wait. The lock is held.
+func (e *Endpoint) freed() {
+	close(e.free)
+	e.free = make(chan struct{})
+}
+
+// Signature returns the signature of an endpoint's answer to an attempt.
+func Signature(attempt, endpoint string, body []byte) string {
+	sum := sha256.Sum256(append([]byte(attempt+" "+endpoint+" "), body...))
+	return hex.EncodeToString(sum[:8])
+}
+
+// run answers: a plain body, or a stream when the path says so.
+func (e *Endpoint) run(ctx context.Context, w http.ResponseWriter, a Arrival, reply fulmardeal.Reply) {
+	e.mu.Lock()
+	e.requests++
+	trouble, odd := e.trouble, e.requests%troubleEvery == 0
+	e.mu.Unlock()
+	pause := e.options.Work
+	if trouble == TroubleSlow {
+		pause *= slowness
+	}
+	if trouble == TroubleHang && odd {
+		<-ctx.Done()
+		panic(http.ErrAbortHandler)
+	}
+	if e.options.Engine == nil {
+		wait(ctx, pause)
+		body := Body(a.Attempt, a.Endpoint.ID, a.Body)
+		platform.Counterpart{}.WriteReply(w.Header(), reply, Signature(a.Attempt, a.Endpoint.ID, body))
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		if trouble == TroubleCut && odd {
+			_, _ = w.Write(body[:len(body)/2]) // it is cut off anyway
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write(body) // a caller that has left needs none
+		return
+	}
+	platform.Counterpart{}.WriteReply(w.Header(), reply, Signature(a.Attempt, a.Endpoint.ID, nil))
+	w.Header().Set("Content-Type", "text/event-stream")
+	first, _ := strconv.Atoi(a.Forward.Resume) // none is 0
+	for i := first + 1; i <= eventsOf; i++ {
+		wait(ctx, pause)
+		if ctx.Err() != nil || trouble == TroubleCut && odd && i > eventsOf/2 {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := w.Write(Event(a.Attempt, a.Endpoint.ID, i)); err != nil {
+			return
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Body returns a plain endpoint's answer.
+func Body(attempt, endpoint string, request []byte) []byte {
+	return fmt.Appendf(nil, "%s %s %s", attempt, endpoint, bytes.ToUpper(request))
+}
+
+// Event returns one event of an engine's answer. The last one says so.
+func Event(attempt, endpoint string, n int) []byte {
+	end := ""
+	if n == eventsOf {
+		end = " end"
+	}
+	return fmt.Appendf(nil, "id: %d\ndata: %s %s%s\n\n", n, attempt, endpoint, end)
+}
+
+// State returns the engine's report.
+func (e *Endpoint) State() fulmardeal.EngineState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return fulmardeal.EngineState{Spans: e.spans, Loading: e.loading, Running: e.running, Waiting: e.waiting, Sequence: e.orders, Born: e.born}
+}
+
+// Order makes the engine load what is staged. It begins when the work in
+// progress has ended.
+func (e *Endpoint) Order(v fulmardeal.Version, expect int64) (began, fits bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.up || e.loading || expect != e.orders {
+		return false, false
+	}
+	number, err := strconv.ParseInt(v.Name, 10, 64)
+	if err != nil {
+		return false, false
+	}
+	e.orders++
+	e.loading = true
+	chunks, _ := e.options.Origin.Chunks(v)
+	wrong := false
+	for i, c := range chunks {
+		wrong = wrong || !bytes.Equal(c, e.staged[i])
+	}
+	go e.load(number, wrong, e.starts)
+	return true, true
+}
+
+// load waits for the work in progress and changes the weights.
+func (e *Endpoint) load(number int64, wrong bool, starts int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for e.running > 0 && e.starts == starts {
+		free := e.free
+		e.mu.Unlock()
+		<-free
+		e.mu.Lock()
+	}
+	e.mu.Unlock()
+	time.Sleep(e.options.Engine.Models[0].Warm)
+	e.mu.Lock()
+	if e.starts != starts || !e.up {
+		return
+	}
+	e.spans = []fulmardeal.Span{{From: 0, To: e.options.Engine.Layers, Version: number}}
+	e.wrong, e.loading = wrong, false
+	e.freed()
+}
+
+// Put stages a chunk.
+func (e *Endpoint) Put(_ string, index int, data []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged[index] = data
+}
+
+// Get returns a staged chunk.
+func (e *Endpoint) Get(_ string, index int) ([]byte, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	data, held := e.staged[index]
+	return data, held
+}
+
+// Held lists the staged chunks.
+func (e *Endpoint) Held(string) []int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []int
+	for i := range e.staged {
+		out = append(out, i)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/site/origin.go
@@ -0,0 +1,55 @@
+package site
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"fulmardeal"
+	"fulmardeal/platform"
+)
+
+// Origin holds versions of weights, generated from their numbers.
+type Origin struct {
+	chunks, size int
+
+	mu   sync.Mutex
+	data map[string][][]byte
+}
+
+// NewOrigin returns an origin whose versions have so many chunks of a size in
+// bytes.
+func NewOrigin(chunks, size int) *Origin {
+	return &Origin{chunks: chunks, size: size, data: make(map[string][][]byte)}
+}
+
+// Chunks returns the chunks of a version and their digests.
+func (o *Origin) Chunks(v fulmardeal.Version) (chunks [][]byte, digests []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n, err := strconv.ParseUint(v.Name, 10, 64)
+	if err != nil {
+		return nil, nil
+	}
+	chunks = o.data[v.Name]
+	if chunks == nil {
+		random := rand.NewChaCha8([32]byte{byte(n)})
+		for range o.chunks {
+			c := make([]byte, o.size)
+			_, _ = random.Read(c) // it never fails
+			chunks = append(chunks, c)
+		}
+		o.data[v.Name] = chunks
+	}
+	for _, c := range chunks {
+		sum := sha256.Sum256(c)
+		digests = append(digests, hex.EncodeToString(sum[:]))
+	}
+	return chunks, digests
+}
+
+// Handler serves the origin.
+func (o *Origin) Handler() http.Handler { return platform.OriginHandler(o) }
