--- a/internal/proof/soak/plan.go
+++ b/internal/proof/soak/plan.go
@@ -46,6 +46,7 @@
 	aimProcess
 	aimEndpoint
 	aimDataCentre
+	aimChange // of the configuration: a route to move, or a key to take
 )
 
 // causes are the faults with what they strike and how often they are drawn.
@@ -74,7 +75,7 @@
 	{CauseOneWay, aimEndpoint, 3},
 	{CauseOtherWay, aimEndpoint, 3},
 	{CauseRefuse, aimEndpoint, 2},
-	{CauseConfig, aimNothing, 4},
+	{CauseConfig, aimChange, 4},
 	{CauseEvacuate, aimDataCentre, 2},
 	{CauseName, aimNothing, 3},
 	{CauseAll, aimNothing, 1},
@@ -92,6 +93,13 @@
 	return fmt.Sprintf("at=%s for=%s cause=%s target=%d", f.At, f.For, f.Cause, f.Target)
 }
 
+// Targets of CauseConfig. Those before ChangeKey are routes to move.
+const (
+	ChangeRead = iota
+	ChangeOrder
+	ChangeKey
+)
+
 const (
 	meanPause = 700 * time.Millisecond // between two faults of a plan
 	leastFor  = 200 * time.Millisecond
@@ -117,6 +125,8 @@
 		return s.Engines + s.Plain
 	case aimDataCentre:
 		return s.DataCentres
+	case aimChange:
+		return ChangeKey + 1
 	}
 	return 1
 }
