fleet/feed, traffic/sharing: what crosses regions no longer grows with the fleet

Everybody read the whole list of endpoints from the store, agents each 3 s; entries told their loads to all others 5 times a second; and under congestion calls ended by their time and began anew, so that configurations came 12 s late.

Now four entries of a data centre read the store, and relay it to the others there by long polls (a data centre with up to four is as before). The age of what is relayed counts, so that revocation is as strict. Entries tell those of other regions within 100 KB/s for a region. An agent is told by two entries of its data centre and one elsewhere, hears of the nearest 180 agents, and reads the store only when no entry is heard.

Ruled out: a scaled copy of the site. There the endpoints' own beats fill the links even when entries tell nothing, which says nothing about us.

--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -27,16 +27,19 @@
 // Batch is what one successful call brought.
 type Batch struct {
 	Changes []fulmardeal.Change
-	Whole   bool          // it lists every key; what it doesn't list is gone
-	Silence time.Duration // how long nothing was heard before it
+	Next    fulmardeal.Offset // from which to go on
+	Whole   bool              // it lists every key; what it doesn't list is gone
+	Silence time.Duration     // how long nothing was heard before it
 }
 
 // Options are how a feed is followed.
 type Options struct {
 	Name  string
 	Feed  fulmardeal.Feed
-	Wait  time.Duration // a call waits so long for a change; it also finds a silent connection
-	Every time.Duration // pause between calls
+	Wait  time.Duration                           // a call waits so long for a change; it also finds a silent connection
+	Every time.Duration                           // pause between calls
+	Pause func(every time.Duration) time.Duration // changes that pause, when set
+	Lag   func() time.Duration                    // how old the state was when the last call was answered; 0 when it isn't set
 	Apply func(Batch)
 	Clock func() time.Duration // Uptime when it is nil
 	Log   *slog.Logger
@@ -80,6 +83,9 @@
 			break
 		}
 		pause := f.options.Every
+		if f.options.Pause != nil {
+			pause = f.options.Pause(pause)
+		}
 		if err != nil {
 			pause = time.Duration(float64(retry) * (0.5 + rand.Float64()))
 			retry = min(2*retry, retryMost)
@@ -129,7 +135,10 @@
 		// The store has waited for a change before it answered.
 		asOf = min(begun+wait, f.options.Clock())
 	}
-	batch := Batch{Changes: changes, Whole: whole, Silence: f.succeeded(asOf)}
+	if f.options.Lag != nil {
+		asOf -= f.options.Lag()
+	}
+	batch := Batch{Changes: changes, Next: after, Whole: whole, Silence: f.succeeded(asOf)}
 	for _, c := range changes {
 		if c.Fault != nil {
 			f.options.Log.Warn("record unreadable", "feed", f.options.Name, "key", c.Key, "offset", int64(c.Offset), "err", c.Fault)
--- /dev/null
+++ b/internal/fleet/feed/relay_test.go
@@ -0,0 +1,154 @@
+package feed
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"net/rpc"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	gocmp "github.com/google/go-cmp/cmp"
+
+	"fulmardeal"
+)
+
+// direct is a store in memory.
+type direct struct {
+	calls int
+	log   []fulmardeal.Change
+}
+
+func (d *direct) put(key string, gone bool) {
+	c := fulmardeal.Change{Key: key, Offset: fulmardeal.Offset(len(d.log)), Gone: gone}
+	if !gone {
+		c.Registration = &fulmardeal.Registration{ID: key, Sequence: int64(len(d.log))}
+	}
+	d.log = append(d.log, c)
+}
+
+func (d *direct) Newest(context.Context) ([]fulmardeal.Change, fulmardeal.Offset, error) {
+	d.calls++
+	return slices.Clone(d.log), fulmardeal.Offset(len(d.log)), nil
+}
+
+func (d *direct) Since(_ context.Context, from fulmardeal.Offset, _ time.Duration) ([]fulmardeal.Change, fulmardeal.Offset, error) {
+	d.calls++
+	return slices.Clone(d.log[from:]), fulmardeal.Offset(len(d.log)), nil
+}
+
+// relays are processes that relay, by address.
+type relays map[string]*Relay
+
+func (r relays) call(_ context.Context, address, _ string, args, reply any) error {
+	x := r[address]
+	if x == nil {
+		return errors.New("refused")
+	}
+	if err := x.Service().(*service).Read(args.(Question), reply.(*Answer)); err != nil {
+		return rpc.ServerError(err.Error())
+	}
+	return nil
+}
+
+// reader reads the store for others.
+func reader(store *direct, age *time.Duration) *Relay {
+	r := &Relay{}
+	r.Add("list", func() (time.Duration, bool) { return *age, *age >= 0 })
+	changes, next, _ := store.Newest(context.Background())
+	r.Put("list", Batch{Changes: changes, Next: next, Whole: true})
+	return r
+}
+
+func keys(changes []fulmardeal.Change) []string {
+	var out []string
+	for _, c := range changes {
+		key := c.Key
+		if c.Gone {
+			key = "-" + key
+		}
+		out = append(out, key)
+	}
+	slices.SortFunc(out, cmp.Compare)
+	return out
+}
+
+// TestRelayed reads through a relay, and from the store when the relay is gone,
+// from where it was.
+func TestRelayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, age := &direct{}, time.Duration(0)
+		store.put("a", false)
+		store.put("b", false)
+		relay := reader(store, &age)
+		all := relays{"r1": relay}
+		f := &Relayed{Name: "list", Store: store, Relays: func() []string { return []string{"dead", "r1"} }, Call: all.call, Log: slog.New(slog.DiscardHandler)}
+		before := store.calls
+
+		changes, next, err := f.Newest(t.Context())
+		if d := gocmp.Diff([]string{"a", "b"}, keys(changes)); d != "" || next != 2 || err != nil {
+			t.Fatalf("next %d, %v: %s", next, err, d)
+		}
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			store.put("c", false)
+			store.put("a", true)
+			relay.Put("list", Batch{Changes: store.log[2:], Next: 4})
+		}()
+		begun := time.Now()
+		changes, next, err = f.Since(t.Context(), 2, 0)
+		if d := gocmp.Diff([]string{"-a", "c"}, keys(changes)); d != "" || next != 4 || err != nil || time.Since(begun) != 100*time.Millisecond {
+			t.Fatalf("after %v: next %d, %v: %s", time.Since(begun), next, err, d)
+		}
+		if f.Pause(time.Second) != 0 || store.calls != before {
+			t.Errorf("pause %v, %d calls to the store", f.Pause(time.Second), store.calls-before)
+		}
+
+		store.put("d", false)
+		age = 2 * relayStale // the reader doesn't reach the store any more
+		changes, next, err = f.Since(t.Context(), 4, 0)
+		if d := gocmp.Diff([]string{"d"}, keys(changes)); d != "" || next != 5 || err != nil || f.Pause(time.Second) != time.Second {
+			t.Errorf("next %d, %v, pause %v: %s", next, err, f.Pause(time.Second), d)
+		}
+	})
+}
+
+// TestRelayedAtStart waits for relays that have just started themselves, and
+// only so long.
+func TestRelayedAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, age := &direct{}, time.Duration(-1)
+		store.put("a", false)
+		all := relays{"r1": reader(store, &age)}
+		f := &Relayed{Name: "list", Store: store, Relays: func() []string { return []string{"r1"} }, Call: all.call, Log: slog.New(slog.DiscardHandler)}
+		before := store.calls
+		if _, _, err := f.Newest(t.Context()); err == nil || store.calls != before {
+			t.Errorf("%v, %d calls to the store at once", err, store.calls-before)
+		}
+		time.Sleep(relayPatience)
+		if _, next, err := f.Newest(t.Context()); err != nil || next != 1 || store.calls != before+1 {
+			t.Errorf("next %d, %v, %d calls to the store in the end", next, err, store.calls-before)
+		}
+	})
+}
+
+// TestRelayTrimmed tells a caller that lags too far to read everything.
+func TestRelayTrimmed(t *testing.T) {
+	store, age := &direct{}, time.Duration(0)
+	r := reader(store, &age)
+	for i := range mostRecent + 10 {
+		r.Put("list", Batch{Changes: []fulmardeal.Change{{Key: "k", Offset: fulmardeal.Offset(i), Gone: true}}, Next: fulmardeal.Offset(i + 1)})
+	}
+	for from, want := range map[fulmardeal.Offset]bool{0: true, 9: true, 10: false, mostRecent: false} {
+		var a Answer
+		if _, err := r.read(Question{Feed: "list", From: from}, &a); err != nil {
+			t.Fatal(err)
+		}
+		if a.Trimmed != want || !want && len(a.Items) != mostRecent+10-int(from) {
+			t.Errorf("from %d: trimmed %v, %d items", from, a.Trimmed, len(a.Items))
+		}
+	}
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -57,9 +57,12 @@
 		}
 	}
 	if b.Whole {
+		listed := make(map[string]bool, len(b.Changes))
+		for _, c := range b.Changes {
+			listed[c.Key] = true
+		}
 		for _, x := range slices.Clone(r.rows) {
-			listed := slices.ContainsFunc(b.Changes, func(c fulmardeal.Change) bool { return c.Key == x.registration.ID })
-			if !listed {
+			if !listed[x.registration.ID] {
 				changed = r.remove(now, x.registration.ID, x.offset+1) || changed
 			}
 		}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -22,7 +22,9 @@
 	"fulmardeal"
 	"fulmardeal/internal/fleet/catalogue"
 	"fulmardeal/internal/fleet/feed"
+	"fulmardeal/internal/fleet/membership"
 	"fulmardeal/internal/fleet/roster"
+	"fulmardeal/internal/link/connection"
 	"fulmardeal/internal/process/monitor"
 	"fulmardeal/internal/traffic/budget"
 	"fulmardeal/internal/traffic/dispatch"
@@ -41,6 +43,18 @@
 	// be known is the pause between two reads of the registrations: one may fail.
 	rosterPart = 0.35
 
+	// storeReaders is how many entries of a data centre read the store, for all
+	// others there. In a data centre with up to so many entries each reads for
+	// itself.
+	storeReaders = 4
+
+	// meetWait is how long an entry that has just started waits to hear of the
+	// others: with few of them known it would read what they read for it.
+	meetWait   = time.Second
+	meetSettle = 300 * time.Millisecond // after they are listed, when they are many
+
+	relayClients = 2 * storeReaders // connections to other entries
+
 	tickEvery = 20 * time.Millisecond // room that comes with time alone
 
 	// revokeMargin is left between the last request with a key that can't be
@@ -71,6 +85,12 @@
 	repeatPart = 0.7
 )
 
+// Names of the feeds.
+const (
+	feedOperator      = "operator"
+	feedRegistrations = "registrations"
+)
+
 // Codec translates headers.
 type Codec interface {
 	ReadFacts(h http.Header) fulmardeal.Facts
@@ -112,6 +132,8 @@
 	mesh      *sharing.Mesh
 	operator  *feed.Follower
 	listed    *feed.Follower
+	relay     feed.Relay         // for other entries
+	within    *connection.Server // for other entries
 	stats     *Stats
 	metrics   string
 	dumpTo    io.Writer
@@ -152,7 +174,7 @@
 	cleanups = append(cleanups, closePool)
 	address := net.JoinHostPort(o.Site.Host, itoa(o.Site.Ports[0]))
 	mesh, closeMesh, err := sharing.NewMesh(sharing.Options{
-		Name: o.Site.Name, Listen: address, Table: g.table, Entries: o.Store.Entries(), Announce: o.Store,
+		Name: o.Site.Name, Place: o.Site.DataCentre, Regions: o.Site.Regions, Listen: address, Table: g.table, Entries: o.Store.Entries(), Announce: o.Store,
 		Targets: func() []catalogue.Target { return g.catalogue.View().Targets() }, Agents: g.agents, Port: uint16(o.Site.Ports[0]), Log: o.Log,
 	})
 	if err != nil {
@@ -161,6 +183,13 @@
 	}
 	g.mesh = mesh
 	cleanups = append(cleanups, closeMesh)
+	server, closeServer, err := connection.Listen(connection.TCP{}, address)
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	g.within = server
+	cleanups = append(cleanups, closeServer)
 	for _, l := range []struct {
 		address string
 		to      *net.Listener
@@ -173,11 +202,71 @@
 		*l.to = listener
 		cleanups = append(cleanups, func() { listener.Close() })
 	}
-	g.operator = feed.New(feed.Options{Name: "operator", Feed: o.Store.Operator(), Wait: operatorWait, Apply: g.operated, Log: o.Log})
-	g.listed = feed.New(feed.Options{Name: "registrations", Feed: o.Store.Registrations(), Every: time.Duration(rosterPart * float64(o.Site.Bounds.Drain)), Apply: g.registered, Log: o.Log})
+	clients, closeClients := connection.NewPool(connection.TCP{}, relayClients)
+	cleanups = append(cleanups, closeClients)
+	g.operator = g.newFollower(clients, feed.Options{Name: feedOperator, Feed: o.Store.Operator(), Wait: operatorWait, Apply: g.operated})
+	every := time.Duration(rosterPart * float64(o.Site.Bounds.Drain))
+	g.listed = g.newFollower(clients, feed.Options{Name: feedRegistrations, Feed: o.Store.Registrations(), Every: every, Apply: g.registered})
+	if err := server.Register(feed.RelayName, g.relay.Service()); err != nil {
+		cleanup()
+		return nil, nil, err
+	}
 	return g, cleanup, nil
 }
 
+// newFollower returns a follower that reads through relays where there are any,
+// and feeds this entry's own.
+func (g *Gateway) newFollower(clients *connection.Pool, o feed.Options) *feed.Follower {
+	r := &feed.Relayed{Name: o.Name, Store: o.Feed, Relays: g.relays, Log: g.log, Call: func(ctx context.Context, address, method string, args, reply any) error {
+		return clients.Client(address).Call(ctx, method, args, reply)
+	}}
+	apply := o.Apply
+	o.Feed, o.Pause, o.Lag, o.Log = r, r.Pause, r.Lag, g.log
+	o.Apply = func(b feed.Batch) {
+		g.relay.Put(o.Name, b)
+		apply(b)
+	}
+	f := feed.New(o)
+	g.relay.Add(o.Name, f.Age)
+	return f
+}
+
+// relays returns the entries that read the store for this one; none when it reads
+// for itself.
+func (g *Gateway) relays() []string {
+	readers, own := g.mesh.Readers(storeReaders)
+	if own {
+		return nil
+	}
+	// Each entry begins with another one.
+	return membership.Order("relay/"+g.site.Name, readers)
+}
+
+// follow follows the feeds once the entries that may read them for this one are
+// known.
+func (g *Gateway) follow(ctx context.Context) error {
+	t := time.NewTimer(meetWait)
+	defer t.Stop()
+	select {
+	case <-g.mesh.Listed():
+	case <-t.C:
+	case <-ctx.Done():
+		return nil
+	}
+	if len(g.relays()) > 0 {
+		t.Reset(meetSettle)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return g.operator.Run(ctx) })
+	group.Go(func() error { return g.listed.Run(ctx) })
+	return group.Wait()
+}
+
 // operated takes over what operators have changed.
 func (g *Gateway) operated(b feed.Batch) {
 	now := time.Now()
@@ -230,8 +319,8 @@
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return serve(server, g.callers) })
 	group.Go(func() error { return serve(ready, g.readiness) })
-	group.Go(func() error { return g.operator.Run(work) })
-	group.Go(func() error { return g.listed.Run(work) })
+	group.Go(func() error { return g.follow(work) })
+	group.Go(g.within.Serve)
 	group.Go(func() error { return g.mesh.Run(work) })
 	group.Go(func() error { g.tick(work); return nil })
 	group.Go(func() error { return monitor.Page(work, g.metrics, g.stats.table, g.dump, g.dumpTo) })
@@ -242,6 +331,7 @@
 			g.leave(server)
 		case <-work.Done():
 		}
+		g.within.Stop()
 		return errors.Join(server.Close(), ready.Close())
 	})
 	err := group.Wait()
--- a/internal/process/loader/loader.go
+++ b/internal/process/loader/loader.go
@@ -103,7 +103,6 @@
 	target  catalogue.Target // of this agent's service
 	peers   []known
 	entries []netip.AddrPort
-	more    bool      // entries don't name all peers
 	peersAt time.Time // when the store was last asked for peers
 	heard   time.Time // when an entry was last heard
 	next    time.Time // when the store is asked for the configuration, if nothing is heard
@@ -180,7 +179,7 @@
 func (l *Loader) hear(f sharing.Brief) {
 	now := time.Now()
 	l.mu.Lock()
-	l.heard, l.entries, l.more = now, f.Entries, f.More
+	l.heard, l.entries = now, f.Entries
 	for _, p := range f.Peers {
 		l.meet(now, l.peer(p.Host.String(), p.Place))
 	}
@@ -269,12 +268,17 @@
 	return out
 }
 
-// refreshPeers reads the registered engines, when the entries don't name all
-// agents or aren't heard.
+// refreshPeers reads the registered engines when the entries aren't heard and no
+// other agent is known. The list is long, and all agents may do so at once: when
+// some are known already, it is read seldom.
 func (l *Loader) refreshPeers(ctx context.Context) {
 	l.mu.Lock()
 	now := time.Now()
-	due := (l.more || now.Sub(l.heard) > silentAfter) && now.Sub(l.peersAt) >= peersEvery
+	every := peersEvery
+	if len(l.peers) > 0 {
+		every = silentMost
+	}
+	due := now.Sub(l.heard) > silentAfter && now.Sub(l.peersAt) >= every
 	if due {
 		l.peersAt = now
 	}
--- a/internal/traffic/sharing/mesh.go
+++ b/internal/traffic/sharing/mesh.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,15 @@
 	// entry spends on listening to all others to 250 datagrams a second.
 	tellEach = 4 * time.Millisecond
 
+	// farRate bounds what all entries of a region together tell those of another,
+	// in bytes a second: 4 per cent of a link of 21 Mbit/s between regions, over
+	// which the store, weights and requests go too.
+	farRate = 100e3
+
+	// farMost is the longest pause between two rounds to another region; after
+	// a second of silence an entry's loads no longer count.
+	farMost = 800 * time.Millisecond
+
 	// listEvery is how often the list of entries is read again. New entries
 	// make themselves known at once; the list finds those that were cut off.
 	listEvery = 10 * time.Second
@@ -43,17 +53,23 @@
 	// doesn't grow with entries times agents, and some may be down.
 	tellers = 3
 
+	// nearTellers of them are in the agent's data centre, if there are so many:
+	// the rest goes on when the ways there fail.
+	nearTellers = 2
+
 	peerGone = 10 * time.Second // after such a silence an entry is told nothing until it is listed again
 )
 
 // Announcer writes where this entry listens.
 type Announcer interface {
-	Announce(ctx context.Context, name, address string) error
+	Announce(ctx context.Context, name, address, dataCentre string) error
 }
 
 // Options are what a mesh is built from.
 type Options struct {
 	Name     string
+	Place    string            // data centre
+	Regions  map[string]string // region of each data centre
 	Listen   string
 	Table    *dispatch.Table
 	Entries  fulmardeal.Feed
@@ -72,11 +88,13 @@
 	mu     sync.Mutex
 	peers  map[string]*member // by address
 	rounds map[string]*newsPart
+	listed chan struct{} // closed when the entries have been listed once
 }
 
 // member is another entry.
 type member struct {
 	address *net.UDPAddr
+	place   string // data centre; empty until it is known
 	heard   time.Time
 }
 
@@ -90,7 +108,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	m := &Mesh{options: o, conn: c, peers: make(map[string]*member), rounds: make(map[string]*newsPart)}
+	m := &Mesh{options: o, conn: c, peers: make(map[string]*member), rounds: make(map[string]*newsPart), listed: make(chan struct{})}
 	return m, func() { c.Close() }, nil
 }
 
@@ -102,39 +120,63 @@
 	go m.remind(ctx)
 	t := time.NewTimer(tellEvery)
 	defer t.Stop()
+	var far time.Time // when other regions are told next
 	for round := uint64(1); ; round++ {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
 		}
-		t.Reset(max(tellEvery, time.Duration(m.tell(round))*tellEach))
+		near, others := m.others(time.Now())
+		to := near
+		parts := encodeNews(m.options.Name, m.options.Place, round, m.options.Table.News())
+		if now := time.Now(); !now.Before(far) {
+			to = append(to, others...)
+			far = now.Add(farPause(1+len(near), len(others), parts))
+		}
+		m.tell(parts, to)
+		t.Reset(max(tellEvery, time.Duration(len(near)+len(others))*tellEach))
 	}
 }
 
-// tell sends the loads to the other entries and returns their number.
-func (m *Mesh) tell(round uint64) int {
-	now := time.Now()
+// farPause returns the pause after a round to other regions, when so many
+// entries of this region tell so many others.
+func farPause(own, others int, parts [][]byte) time.Duration {
+	size := 0
+	for _, b := range parts {
+		size += len(b)
+	}
+	seconds := float64(own) * float64(others) * float64(size) / farRate
+	return min(farMost, time.Duration(seconds*float64(time.Second)))
+}
+
+// others returns the entries of this region and those of others, and forgets
+// those that are gone.
+func (m *Mesh) others(now time.Time) (near, far []*net.UDPAddr) {
+	region := m.options.Regions[m.options.Place]
 	m.mu.Lock()
-	var to []*net.UDPAddr
+	defer m.mu.Unlock()
 	for key, p := range m.peers {
-		if now.Sub(p.heard) > peerGone {
+		switch {
+		case now.Sub(p.heard) > peerGone:
 			delete(m.peers, key)
-			continue
+		case m.options.Regions[p.place] == region:
+			near = append(near, p.address)
+		default:
+			far = append(far, p.address)
 		}
-		to = append(to, p.address)
-	}
-	m.mu.Unlock()
-	if len(to) == 0 {
-		return 0
 	}
-	for _, b := range encodeNews(m.options.Name, round, m.options.Table.News()) {
+	return near, far
+}
+
+// tell sends the loads to other entries.
+func (m *Mesh) tell(parts [][]byte, to []*net.UDPAddr) {
+	for _, b := range parts {
 		for _, a := range to {
 			// A datagram that can't be sent is as good as lost.
 			_, _ = m.conn.WriteToUDP(b, a)
 		}
 	}
-	return len(to)
 }
 
 // remind briefs the agents again and again.
@@ -160,16 +202,57 @@
 // Brief tells the agents whose entry this is what they need to know.
 func (m *Mesh) Brief() {
 	agents := m.options.Agents()
-	b := encodeBrief(time.Now(), Brief{Targets: m.options.Targets(), Entries: m.entries(), Peers: agents})
-	for _, p := range agents {
-		if !m.tells(p.Host.String()) {
+	brief := Brief{Targets: m.options.Targets(), Entries: m.entries(), Peers: agents}
+	b := encodeBrief(time.Now(), brief)
+	for i, p := range agents {
+		if !m.tells(p) {
 			continue
 		}
+		if len(agents) > mostPeers {
+			brief.Peers = nearest(agents, i)
+			b = encodeBrief(time.Now(), brief)
+		}
 		// A datagram that can't be sent is as good as lost: it is told again.
 		_, _ = m.conn.WriteToUDPAddrPort(b, netip.AddrPortFrom(p.Host, m.options.Port))
 	}
 }
 
+// nearest returns the agents, those of the same data centre as the i-th first:
+// they fetch from each other most. All others follow from there on around, so
+// that each is known to some.
+func nearest(agents []Peer, i int) []Peer {
+	around := slices.Concat(agents[i:], agents[:i])
+	slices.SortStableFunc(around, func(a, b Peer) int {
+		near := func(p Peer) int {
+			if p.Place == agents[i].Place {
+				return 0
+			}
+			return 1
+		}
+		return near(a) - near(b)
+	})
+	return around
+}
+
+// Listed is closed when the entries have been listed once.
+func (m *Mesh) Listed() <-chan struct{} { return m.listed }
+
+// Readers returns the entries of this data centre that are to read the store
+// for all of it, in the same order for all, and whether this entry is one.
+func (m *Mesh) Readers(most int) (addresses []string, own bool) {
+	names := []string{m.options.Listen}
+	m.mu.Lock()
+	for key, p := range m.peers {
+		if p.place == m.options.Place {
+			names = append(names, key)
+		}
+	}
+	m.mu.Unlock()
+	order := membership.Order("reader/"+m.options.Place, names)
+	order = order[:min(most, len(order))]
+	return order, slices.Contains(order, m.options.Listen)
+}
+
 // entries returns where the entries listen, this one too.
 func (m *Mesh) entries() []netip.AddrPort {
 	var out []netip.AddrPort
@@ -185,19 +268,30 @@
 	return out
 }
 
-// tells reports whether this entry is one of those that tell an agent.
-func (m *Mesh) tells(agent string) bool {
+// tells reports whether this entry is one of those that tell an agent: the first
+// ones in the agent's data centre, and then the first of the others.
+func (m *Mesh) tells(p Peer) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	job := "teller/" + agent
+	job := "teller/" + p.Host.String()
 	own := membership.Score(job, m.options.Listen)
-	before := 0
-	for key := range m.peers {
+	near, nearBefore, farBefore := 0, 0, 0
+	for key, x := range m.peers {
+		before := 0
 		if membership.Score(job, key) > own {
-			before++
+			before = 1
 		}
+		if x.place == p.Place {
+			near++
+			nearBefore += before
+		} else {
+			farBefore += before
+		}
+	}
+	if m.options.Place == p.Place {
+		return nearBefore < nearTellers
 	}
-	return before < tellers
+	return farBefore < tellers-min(near, nearTellers)
 }
 
 func (m *Mesh) listen() {
@@ -232,7 +326,7 @@
 		if err != nil {
 			return err
 		}
-		m.meet(now, from)
+		m.meet(now, from, p.place)
 		if news, whole := m.join(p); whole {
 			m.options.Table.Hear(now, p.entry, news)
 		}
@@ -261,40 +355,37 @@
 	return have.news, p.part+1 == p.parts
 }
 
-func (m *Mesh) meet(now time.Time, a *net.UDPAddr) {
+func (m *Mesh) meet(now time.Time, a *net.UDPAddr, place string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	key := a.String()
 	if p := m.peers[key]; p != nil {
-		p.heard = now
+		p.heard, p.place = now, place
 		return
 	}
-	m.peers[key] = &member{address: a, heard: now}
+	m.peers[key] = &member{address: a, place: place, heard: now}
 	m.options.Log.Info("entry met", "address", key)
 }
 
 // list announces this entry and reads where the others listen.
 func (m *Mesh) list(ctx context.Context) {
-	announced := false
+	announced, listed := false, false
 	for ctx.Err() == nil {
 		pause := listEvery
 		if !announced {
-			if err := m.options.Announce.Announce(ctx, m.options.Name, m.options.Listen); err != nil {
+			if err := m.options.Announce.Announce(ctx, m.options.Name, m.options.Listen, m.options.Place); err != nil {
 				m.options.Log.Warn("not announced", "err", err)
 				pause = listRetry
 			} else {
 				announced = true
 			}
 		}
-		addresses, err := Addresses(ctx, m.options.Entries)
-		if err != nil {
+		if err := m.readList(ctx); err != nil {
 			m.options.Log.Warn("entries not listed", "err", err)
 			pause = listRetry
-		}
-		for _, a := range addresses {
-			if a.String() != m.options.Listen {
-				m.meetListed(a)
-			}
+		} else if !listed {
+			listed = true
+			close(m.listed)
 		}
 		t := time.NewTimer(pause)
 		select {
@@ -305,33 +396,25 @@
 	}
 }
 
-func (m *Mesh) meetListed(a *net.UDPAddr) {
-	m.mu.Lock()
-	_, known := m.peers[a.String()]
-	m.mu.Unlock()
-	if !known {
-		m.meet(time.Now(), a)
-	}
-}
-
-// Addresses returns where the entries listen.
-func Addresses(ctx context.Context, f fulmardeal.Feed) ([]*net.UDPAddr, error) {
-	changes, _, err := f.Newest(ctx)
+// readList meets the entries that are listed and not known yet.
+func (m *Mesh) readList(ctx context.Context) error {
+	changes, _, err := m.options.Entries.Newest(ctx)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	var out []*net.UDPAddr
 	for _, c := range changes {
-		if c.Address == "" {
-			continue
-		}
 		a, err := net.ResolveUDPAddr("udp4", c.Address)
-		if err != nil {
-			continue // another writer's record; it names no entry
+		if err != nil || a.String() == m.options.Listen {
+			continue // this one, or another writer's record, which names no entry
+		}
+		m.mu.Lock()
+		_, known := m.peers[a.String()]
+		m.mu.Unlock()
+		if !known {
+			m.meet(time.Now(), a, c.DataCentre)
 		}
-		out = append(out, a)
 	}
-	return out, nil
+	return nil
 }
 
 // Tell sends a notice about an engine to the entries.
--- a/internal/traffic/sharing/message.go
+++ b/internal/traffic/sharing/message.go
@@ -43,17 +43,18 @@
 // tells the latest ones; of a flood, each part tells some.
 const mostRefused = 30
 
-// encodeNews returns what an entry tells, in as many datagrams as it takes. Each
-// begins with the number of the round and its place in it.
-func encodeNews(entry string, round uint64, n dispatch.News) [][]byte {
+// encodeNews returns what an entry of a data centre tells, in as many datagrams
+// as it takes. Each begins with the number of the round and its place in it.
+func encodeNews(entry, dataCentre string, round uint64, n dispatch.News) [][]byte {
 	loads, refused := n.Loads, n.Refused
 	const refusal = 8 + binary.MaxVarintLen16
-	most := (mostDatagram - 64 - len(entry) - mostRefused*refusal) / (8 + 2*binary.MaxVarintLen32)
+	most := (mostDatagram - 64 - len(entry) - len(dataCentre) - mostRefused*refusal) / (8 + 2*binary.MaxVarintLen32)
 	parts := max(1, (len(loads)+most-1)/most, (len(refused)+mostRefused-1)/mostRefused)
 	var out [][]byte
 	for i := range parts {
 		b := []byte{kindNews}
 		b = appendText(b, entry)
+		b = appendText(b, dataCentre)
 		b = binary.AppendUvarint(b, round)
 		b = binary.AppendUvarint(b, uint64(i))
 		b = binary.AppendUvarint(b, uint64(parts))
@@ -95,8 +96,7 @@
 type Brief struct {
 	Targets []catalogue.Target
 	Entries []netip.AddrPort // where the entries listen
-	Peers   []Peer
-	More    bool // there are more peers than fit; the store lists them
+	Peers   []Peer           // those that matter most to the agent, when they are many
 }
 
 // mostPeers is how many peers one datagram holds beside the rest.
@@ -134,11 +134,6 @@
 		b = appendText(b, p)
 	}
 	peers := f.Peers[:min(len(f.Peers), mostPeers)]
-	more := byte(0)
-	if len(peers) < len(f.Peers) {
-		more = 1
-	}
-	b = append(b, more)
 	b = binary.AppendUvarint(b, uint64(len(peers)))
 	for _, p := range peers {
 		ip := p.Host.As4()
@@ -177,9 +172,6 @@
 	for range r.count() {
 		places = append(places, r.text())
 	}
-	if more := r.bytes(1); r.err == nil {
-		f.More = more[0] == 1
-	}
 	for range r.count() {
 		ip, place := r.bytes(4), r.bytes(1)
 		if r.err == nil && int(place[0]) >= len(places) {
@@ -263,6 +255,7 @@
 // newsPart is one datagram of an entry's news.
 type newsPart struct {
 	entry string
+	place string // its data centre
 	round uint64
 	part  uint64
 	parts uint64
@@ -274,7 +267,7 @@
 
 func decodeNews(data []byte) (newsPart, error) {
 	r := reader{data: data}
-	p := newsPart{entry: r.text(), round: r.number(), part: r.number(), parts: r.number()}
+	p := newsPart{entry: r.text(), place: r.text(), round: r.number(), part: r.number(), parts: r.number()}
 	n := r.number()
 	if n > mostDatagram || p.parts > mostDatagram || p.part >= p.parts && r.err == nil {
 		r.fail(fmt.Sprintf("part %d of %d with %d loads", p.part, p.parts, n))
--- a/pool.go
+++ b/pool.go
@@ -189,6 +189,7 @@
 	Evacuation   string // a data centre that is to get nothing
 	Naming       *Naming
 	Address      string // of a process of the system
+	DataCentre   string // of that process
 	Fault        error  // why the record can't be read; it has no effect
 }
 
