--- a/internal/cli/command/soak.go
+++ b/internal/cli/command/soak.go
@@ -24,6 +24,7 @@
 Examples:
   fulmardeal soak --seed 7
   fulmardeal soak --seed 1 --runs 50 --report soak.json
+  fulmardeal soak --plan found.plan
   fulmardeal soak --entries 60 --engines 120 --plain 20 --callers 300`
 
 // soakCommand runs the system under faults.
@@ -37,6 +38,7 @@
 	Plain       int           `long:"plain" description:"Number of plain endpoints" default:"8"`
 	DataCentres int           `long:"datacentres" description:"Number of data centres, each in a region of its own" default:"2"`
 	Callers     int           `long:"callers" description:"Number of callers" default:"12"`
+	Plan        string        `long:"plan" description:"Faults to make happen instead of those of the seed, as a run prints them" value-name:"FILE"`
 	Report      string        `long:"report" description:"Write the report there, in JSON" value-name:"FILE"`
 }
 
@@ -45,6 +47,14 @@
 	if c.DataCentres < 1 || c.DataCentres > 26 || c.Entries < 1 || c.Engines < c.DataCentres || c.Plain < 2*c.DataCentres || c.Callers < 1 || c.Runs < 1 {
 		return errors.New("soak: there must be 1 to 26 data centres, 1 entry, 1 caller and 1 run or more, 1 engine and 2 plain endpoints in each data centre")
 	}
+	shape := soak.Shape{Entries: c.Entries, Engines: c.Engines, Plain: c.Plain, DataCentres: c.DataCentres}
+	var faults []soak.Fault
+	if c.Plan != "" {
+		var err error
+		if faults, err = soak.ReadPlan(c.Plan, shape); err != nil {
+			return err
+		}
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return err
@@ -54,7 +64,9 @@
 	var reports []soak.Report
 	broken := 0
 	for i := range uint64(c.Runs) {
-		r, err := c.run(ctx, self, c.Seed+i)
+		r, err := c.run(ctx, soak.Options{
+			Seed: c.Seed + i, Length: c.For, Faults: faults, Shape: shape, Callers: c.Callers, Starter: soak.Program{Path: self}, Out: io.Discard,
+		})
 		if err != nil {
 			return err
 		}
@@ -71,19 +83,16 @@
 }
 
 // run makes one run. Its logs stay when something was broken.
-func (c *soakCommand) run(ctx context.Context, self string, seed uint64) (soak.Report, error) {
-	dir, remove, err := soak.Logs(seed)
+func (c *soakCommand) run(ctx context.Context, o soak.Options) (soak.Report, error) {
+	dir, remove, err := soak.Logs(o.Seed)
 	if err != nil {
 		return soak.Report{}, err
 	}
-	out := io.Discard
+	o.Logs = dir
 	if c.env.global.Verbose {
-		out = c.env.out
+		o.Out = c.env.out
 	}
-	r, err := soak.Run(ctx, soak.Options{
-		Seed: seed, Length: c.For, Callers: c.Callers, Starter: soak.Program{Path: self, Dir: dir}, Logs: dir, Out: out,
-		Shape: soak.Shape{Entries: c.Entries, Engines: c.Engines, Plain: c.Plain, DataCentres: c.DataCentres},
-	})
+	r, err := soak.Run(ctx, o)
 	if err != nil {
 		return r, err
 	}
--- a/internal/proof/soak/careless_test.go
+++ b/internal/proof/soak/careless_test.go
@@ -139,7 +139,7 @@
 func (s *started) Err() error            { return nil }
 
 // Start starts a careless entry, or nothing in the place of an agent.
-func (inside) Start(role string, s fulmardeal.Site, _ io.Writer) (soak.Process, error) {
+func (inside) Start(role string, s fulmardeal.Site, _ string, _ io.Writer) (soak.Process, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	p := &started{stop: stop, done: make(chan struct{})}
 	if role != soak.RoleEntry {
--- a/internal/proof/soak/plan.go
+++ b/internal/proof/soak/plan.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -100,6 +103,71 @@
 	ChangeKey
 )
 
+// PlanError says which line of a plan is wrong.
+type PlanError struct {
+	File  string
+	Line  int
+	Cause string
+}
+
+func (e *PlanError) Error() string { return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Cause) }
+
+// ReadPlan reads faults as a run prints them, a line each. Lines that begin with
+// # are comments.
+func ReadPlan(file string, s Shape) ([]Fault, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var out []Fault
+	for i, line := range strings.Split(string(data), "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		f, cause := parseFault(line, s)
+		if cause != "" {
+			return nil, &PlanError{File: file, Line: i + 1, Cause: cause}
+		}
+		out = append(out, f)
+	}
+	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
+	return out, nil
+}
+
+// parseFault returns one fault, or what is wrong with the line.
+func parseFault(line string, s Shape) (f Fault, wrong string) {
+	for _, word := range strings.Fields(line) {
+		name, value, _ := strings.Cut(word, "=")
+		var err error
+		switch name {
+		case "at":
+			f.At, err = time.ParseDuration(value)
+		case "for":
+			f.For, err = time.ParseDuration(value)
+		case "cause":
+			f.Cause = Cause(value)
+		case "target":
+			f.Target, err = strconv.Atoi(value)
+		default:
+			return f, fmt.Sprintf("%q is not at, for, cause or target", name)
+		}
+		if err != nil {
+			return f, fmt.Sprintf("%s: %v", name, err)
+		}
+	}
+	for _, c := range causes {
+		if c.cause != f.Cause {
+			continue
+		}
+		if most := s.targets(c.aim); f.Target < 0 || f.Target >= most {
+			return f, fmt.Sprintf("target %d of %d", f.Target, most)
+		}
+		return f, ""
+	}
+	return f, fmt.Sprintf("no cause is called %q", f.Cause)
+}
+
 const (
 	meanPause = 700 * time.Millisecond // between two faults of a plan
 	leastFor  = 200 * time.Millisecond
--- a/internal/proof/soak/process.go
+++ b/internal/proof/soak/process.go
@@ -25,7 +25,8 @@
 
 // Starter starts processes of the system.
 type Starter interface {
-	Start(role string, s fulmardeal.Site, out io.Writer) (Process, error)
+	// Start starts a process, whose files may be in a directory.
+	Start(role string, s fulmardeal.Site, dir string, out io.Writer) (Process, error)
 }
 
 // Roles of processes, which are subcommands of the program.
@@ -37,12 +38,11 @@
 // Program starts processes of a program.
 type Program struct {
 	Path string
-	Dir  string // for settings files
 }
 
 // Start starts a process with its settings file.
-func (p Program) Start(role string, s fulmardeal.Site, out io.Writer) (Process, error) {
-	file := filepath.Join(p.Dir, s.Name+".conf")
+func (p Program) Start(role string, s fulmardeal.Site, dir string, out io.Writer) (Process, error) {
+	file := filepath.Join(dir, s.Name+".conf")
 	if err := os.WriteFile(file, []byte(platform.FormatSettings(s)), 0o600); err != nil {
 		return nil, err
 	}
@@ -113,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := f.starter.Start(m.role, m.site, out)
+	p, err := f.starter.Start(m.role, m.site, f.dir, out)
 	if err != nil {
 		out.Close()
 		return err
--- a/internal/proof/soak/world.go
+++ b/internal/proof/soak/world.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -84,9 +85,12 @@
 
 func dataCentre(i int) string { return string(rune('a' + i)) }
 
+// worlds counts the runs of this process.
+var worlds atomic.Int32
+
 // newWorld starts the stand-ins. Each run uses loopback addresses of its own.
 func newWorld(shape Shape, starter Starter, dir string) (*world, error) {
-	w := &world{shape: shape, prefix: fmt.Sprintf("127.%d", 1+os.Getpid()%250), store: site.NewStore(), origin: site.NewOrigin(chunks, chunkSize), weights: 1,
+	w := &world{shape: shape, prefix: fmt.Sprintf("127.%d", 1+(os.Getpid()+37*int(worlds.Add(1)))%250), store: site.NewStore(), origin: site.NewOrigin(chunks, chunkSize), weights: 1,
 		regions: make(map[string]string), busy: make(map[int]bool), out: make(map[string]int)}
 	for i := range shape.DataCentres {
 		w.regions[dataCentre(i)] = "region-" + dataCentre(i)
