process/loader, weights/chunk: two agents of a region draw a manifest for the others

A copy takes 1.7 s over the origin's link; in the first second only 24 chunks came, since a hundred agents drew the manifest (5 KB each, 0.4 s of the link) and were reset by the origin's bound on connections.

Two agents of each region draw the manifest now. The others take it from them if both agree: what the origin sends may be spoilt. A manifest that is spoilt and can still be read was never found out before: when a chunk arrives wrong four times, it is drawn anew (TestSpoiltManifest fails without that).

The lines didn't tell at first: the agents now log when the origin is lost and reached, and each second how far a spread has come.

--- a/internal/process/loader/loader_test.go
+++ b/internal/process/loader/loader_test.go
@@ -5,10 +5,12 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/netip"
+	"os"
+	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +36,9 @@
 	down  map[string]bool // by version
 	spoil int             // chunks that are still to be spoilt
 	drawn int
+
+	wrong     int // manifests that are still to be spoilt
+	manifests int // that were drawn
 }
 
 func (s *source) Manifest(_ context.Context, v fulmardeal.Version) ([]byte, error) {
@@ -46,6 +51,11 @@
 	for i := range chunks {
 		digests = append(digests, manifest.Sum(content(v.Name, i)))
 	}
+	s.manifests++
+	if s.wrong > 0 {
+		s.wrong--
+		digests[2] = manifest.Sum([]byte("spoilt"))
+	}
 	return manifest.Encode(v, chunkSize, digests)
 }
 
@@ -169,15 +179,24 @@
 // a change of version.
 func agent(t *testing.T, s *source, e *engine, within time.Duration) *Loader {
 	t.Helper()
-	c, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	port := c.Addr().(*net.TCPAddr).Port
-	c.Close()
+	return agentAt(t, newHost(), s, e, within)
+}
+
+// hosts counts the loopback addresses that were handed out.
+var hosts atomic.Int32
+
+// newHost returns a loopback address of a test's own, on which no port is taken.
+func newHost() string {
+	n := int(hosts.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, 200+n/200, 1+n%200)
+}
+
+// agentAt is an agent at a loopback address.
+func agentAt(t *testing.T, host string, s *source, e *engine, within time.Duration) *Loader {
+	t.Helper()
 	site := fulmardeal.Site{
-		Name: "side-1", Host: "127.0.0.1", DataCentre: "a", Region: "r", Regions: map[string]string{"a": "r"},
-		Ports: [2]int{port, port}, Endpoint: "127.0.0.1:1", Service: "llm", Bounds: fulmardeal.Bounds{Weights: within},
+		Name: "side-1", Host: host, DataCentre: "a", Region: "r", Regions: map[string]string{"a": "r"},
+		Ports: [2]int{7700, 7715}, Endpoint: "127.0.0.1:1", Service: "llm", Bounds: fulmardeal.Bounds{Weights: within},
 	}
 	l, cleanup, err := New(Options{
 		Site: site, Store: nothing{}, Engine: e, Log: slog.New(slog.DiscardHandler), Seed: 1,
@@ -198,13 +217,53 @@
 }
 
 // name tells the agent which version is wanted, as entries do.
-func name(l *Loader, version int64) {
-	l.hear(sharing.Brief{
-		Targets: []catalogue.Target{{Service: "llm", Model: "m", Layers: 4, Version: version, Since: time.Now(), Origin: "o:1", Place: "a"}},
-		Peers:   []sharing.Peer{{Host: netip.MustParseAddr("127.0.0.1"), Place: "a"}},
+func name(l *Loader, version int64, peers ...*Loader) {
+	b := sharing.Brief{Targets: []catalogue.Target{{Service: "llm", Model: "m", Layers: 4, Version: version, Since: time.Now(), Origin: "o:1", Place: "a"}}}
+	for _, p := range append(peers, l) {
+		b.Peers = append(b.Peers, sharing.Peer{Host: netip.MustParseAddr(p.options.Site.Host), Place: "a"})
+	}
+	l.hear(b)
+}
+
+// several runs agents that know each other, names a version to them, and waits
+// until all engines hold it.
+func several(t *testing.T, n int, s *source) {
+	t.Helper()
+	var all []*Loader
+	var engines []*engine
+	for range n {
+		e := &engine{t: t, staged: make(map[int][]byte)}
+		engines = append(engines, e)
+		all = append(all, agentAt(t, newHost(), s, e, 8*time.Second))
+	}
+	for _, l := range all {
+		name(l, 1, all...)
+	}
+	until(t, "all hold version 1", 5*time.Second, func() bool {
+		return !slices.ContainsFunc(engines, func(e *engine) bool { v, _ := e.holds(); return v != 1 })
 	})
 }
 
+// All agents of a region want a manifest at the same moment: two draw it from
+// the origin, whose link is narrow, and the others take it from them.
+func TestManifestDrawnTwice(t *testing.T) {
+	s := &source{}
+	several(t, 8, s)
+	if s.manifests != drawers {
+		t.Errorf("%d manifests drawn, want %d", s.manifests, drawers)
+	}
+}
+
+// One of the two gets a manifest that was spoilt on its way, and which can be
+// read: nobody else takes it over.
+func TestSpoiltManifest(t *testing.T) {
+	s := &source{wrong: 1}
+	several(t, 8, s)
+	if s.manifests <= drawers {
+		t.Errorf("%d manifests drawn: a spoilt one was taken over", s.manifests)
+	}
+}
+
 func until(t *testing.T, what string, within time.Duration, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
--- a/internal/process/loader/work.go
+++ b/internal/process/loader/work.go
@@ -207,18 +207,6 @@
 	return s, err
 }
 
-// manifest asks the origin, or a peer when the origin can't be reached.
-func (l *Loader) manifest(ctx context.Context, v fulmardeal.Version) ([]byte, error) {
-	data, err := l.origin.Manifest(ctx, v)
-	if err == nil || ctx.Err() != nil {
-		return data, err
-	}
-	if data := l.exchange.AskManifest(ctx, v, l.Peers()); len(data) > 0 {
-		return data, nil
-	}
-	return nil, err
-}
-
 // home returns the origin's region.
 func (l *Loader) home() string {
 	target, _ := l.aimed()
--- a/internal/weights/chunk/exchange.go
+++ b/internal/weights/chunk/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -24,6 +25,7 @@
 	askTimeout   = 2 * time.Second
 	fetchTimeout = 30 * time.Second // for a peer's request to this store
 	tickEvery    = 20 * time.Millisecond
+	noteEvery    = time.Second // between two lines about a spread that goes on
 )
 
 // Want asks a peer for a chunk, or with a negative index only for its bitmap.
@@ -39,6 +41,17 @@
 	Data []byte
 }
 
+// DoubtError says that a chunk has arrived wrong again and again, so that the
+// manifest itself may be wrong.
+type DoubtError struct {
+	Version fulmardeal.Version
+	Index   int
+}
+
+func (e *DoubtError) Error() string {
+	return fmt.Sprintf("manifest of %v: chunk %d never arrives as it says", e.Version, e.Index)
+}
+
 // Store keeps verified chunks beside the endpoint; fulmardeal.Engine is one.
 type Store interface {
 	PutChunk(ctx context.Context, v fulmardeal.Version, index int, data []byte) error
@@ -61,6 +74,7 @@
 	uploads   int
 	turns     []chan struct{} // of peers that wait to be served
 	resting   time.Time       // the origin is left alone until then
+	lost      time.Time       // since when the origin has failed; zero when it answered last
 }
 
 // NewExchange returns an exchange. The pool must be its own: chunks are large,
@@ -227,8 +241,16 @@
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
 	var met time.Time
+	noted := time.Now()
 	for !s.Whole() {
 		now := time.Now()
+		if i := s.Doubtful(); i >= 0 {
+			return &DoubtError{Version: s.manifest.Version(), Index: i}
+		}
+		if now.Sub(noted) >= noteEvery {
+			noted = now
+			x.noteProgress(s)
+		}
 		if now.Sub(met) >= meetEvery {
 			met = now
 			s.Meet(now, peers())
@@ -312,7 +334,9 @@
 		return parcel, err
 	}
 
+	begun := time.Now()
 	data, err := x.origin.Chunk(ctx, v, f.Index)
+	x.noteOrigin(begun, f.Index, err)
 	var busy *fulmardeal.BusyError
 	switch {
 	case errors.As(err, &busy):
@@ -323,3 +347,24 @@
 	parcel.Data = data
 	return parcel, err
 }
+
+// noteOrigin logs that the origin is lost, or is reached again.
+func (x *Exchange) noteOrigin(begun time.Time, index int, err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case err != nil && x.lost.IsZero():
+		x.lost = begun
+		x.log.Warn("origin lost", "chunk", index, "took", time.Since(begun), "err", err)
+	case err == nil && !x.lost.IsZero():
+		x.log.Info("origin reached", "chunk", index, "silence", time.Since(x.lost))
+		x.lost = time.Time{}
+	}
+}
+
+// noteProgress logs how far a spread has come that takes long.
+func (x *Exchange) noteProgress(s *Swarm) {
+	p := s.Progress()
+	x.log.Info("weights under way", "version", s.manifest.Version().String(), "held", p.Held, "chunks", p.Chunks, "under", p.Under,
+		"peers", p.Peers, "known", p.Known, "quiet", time.Since(p.Gained))
+}
--- a/internal/weights/chunk/pace.go
+++ b/internal/weights/chunk/pace.go
@@ -17,6 +17,7 @@
 	Uploads      int           // chunks under way from one agent; the rest wait elsewhere
 	Queue        int           // peers that may wait for an upload; the rest ask others
 	UploadRate   float64       // bytes a second in which an upload counts as under way; 0 is until it is handed over
+	Doubts       int           // times that one chunk arrives wrong, after which the manifest is doubted; 0 where its digest is known
 	FarLeast     float64       // bounds of the window of chunks under way from other regions to one agent
 	FarMost      float64
 }
@@ -56,6 +57,7 @@
 	Fetches:      5,
 	Uploads:      1,
 	Queue:        2,
+	Doubts:       4, // a chunk in a thousand comes wrong so often where every sixth is spoilt
 	FarLeast:     1,
 	FarMost:      1,
 }
--- a/internal/weights/chunk/swarm.go
+++ b/internal/weights/chunk/swarm.go
@@ -116,6 +116,7 @@
 	nearest  time.Duration // least time of a question to another region
 	around   time.Duration // mean time of a question inside the region
 	corrupt  int
+	wrong    map[int]int // times that a chunk arrived wrong and not yet right
 	drawn    int64
 	patience time.Duration // without any new chunk, after which this agent imports out of turn
 	resting  bool          // the origin is not to be asked in the next tick
@@ -138,6 +139,7 @@
 		began:    now,
 		gained:   now,
 		has:      NewBitmap(m.Chunks()),
+		wrong:    make(map[int]int),
 		wake:     make(chan struct{}, 1),
 	}
 	s.SetPace(Steady)
@@ -184,6 +186,19 @@
 	return s.corrupt
 }
 
+// Doubtful returns a chunk that has arrived wrong so often that the manifest may
+// be what is wrong, or -1.
+func (s *Swarm) Doubtful() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, n := range s.wrong {
+		if s.pace.Doubts > 0 && n >= s.pace.Doubts {
+			return i
+		}
+	}
+	return -1
+}
+
 // Drawn returns the bytes that this agent has drawn from the origin.
 func (s *Swarm) Drawn() int64 {
 	s.mu.Lock()
@@ -356,6 +371,7 @@
 	}
 	s.has.Set(f.Index)
 	s.gained = now
+	delete(s.wrong, f.Index)
 	if f.Peer == nil {
 		s.drawn += int64(s.manifest.ChunkSize(f.Index))
 		return
@@ -395,6 +411,7 @@
 	s.end(f)
 	if corrupt {
 		s.corrupt++
+		s.wrong[f.Index]++
 	}
 	if f.Peer == nil {
 		s.changed = now
@@ -427,11 +444,19 @@
 	Chunks int
 	Under  int
 	Peers  int
+	Known  int       // chunks that this agent or a peer is known to hold
+	Gained time.Time // when this agent last had a new chunk
 }
 
 // Progress returns how far this agent has come.
 func (s *Swarm) Progress() Progress {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Progress{Held: s.has.Count(), Chunks: s.manifest.Chunks(), Under: len(s.under), Peers: len(s.peers)}
+	p := Progress{Held: s.has.Count(), Chunks: s.manifest.Chunks(), Under: len(s.under), Peers: len(s.peers), Gained: s.gained}
+	for i := range p.Chunks {
+		if s.has.Has(i) || s.held(i) {
+			p.Known++
+		}
+	}
+	return p
 }
