--- /dev/null
+++ b/internal/cli/command/inside.go
@@ -0,0 +1,99 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"fulmardeal"
+	"fulmardeal/internal/proof/soak"
+)
+
+// smallShape is the deployment that local --platform runs.
+var smallShape = soak.Shape{Entries: 3, Engines: 4, Plain: 8, DataCentres: 2}
+
+const smallCallers = 12
+
+// runPlatform runs a deployment of the users' platform in this process, without
+// faults.
+func (c *local) runPlatform() error {
+	if c.Settings != "" || c.Model != "" {
+		return errors.New("local: --settings and --model are not for --platform, whose deployment is fixed")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	dir, remove, err := soak.Logs(0)
+	if err != nil {
+		return err
+	}
+	defer remove()
+	r, err := soak.Run(ctx, soak.Options{
+		Faults: []soak.Fault{}, After: c.For, Shape: smallShape, Callers: smallCallers, Starter: inside{}, Logs: dir, Out: io.Discard,
+	})
+	if err != nil {
+		return err
+	}
+	n := r.Counts
+	fmt.Fprintf(c.env.out, "requests  %d sent, %d served, %d refused, %d failed, %d left by their callers\n", n.Sent, n.Served, n.Refused, n.Failed, n.Left)
+	fmt.Fprintf(c.env.out, "promises  %d broken\n", len(r.Breaches))
+	for _, b := range r.Breaches {
+		fmt.Fprintln(c.env.out, b)
+	}
+	if err := writeReport(c.Report, r); err != nil {
+		return err
+	}
+	if len(r.Breaches) > 0 {
+		return errors.New("something went wrong that must not: see the summary")
+	}
+	return nil
+}
+
+// inside starts entries and agents within this process.
+type inside struct{}
+
+// Start starts an entry or an agent.
+func (inside) Start(role string, s fulmardeal.Site, _ string, out io.Writer) (soak.Process, error) {
+	set := newAgent
+	if role == soak.RoleEntry {
+		set = newEntry
+	}
+	run, cleanup, err := set(s, slog.New(slog.NewTextHandler(out, nil)), "", out)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	p := &insider{stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		defer cleanup()
+		p.err = run(ctx)
+	}()
+	return p, nil
+}
+
+// insider is an entry or agent within this process. Any signal that would end it
+// stops it.
+type insider struct {
+	stop context.CancelFunc
+	done chan struct{}
+	err  error
+}
+
+func (p *insider) Signal(s os.Signal) error {
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		p.stop()
+	}
+	return nil
+}
+
+func (p *insider) Done() <-chan struct{} { return p.done }
+
+func (p *insider) Err() error {
+	<-p.done
+	return p.err
+}
--- a/internal/cli/command/local.go
+++ b/internal/cli/command/local.go
@@ -20,8 +20,13 @@
 is spread to all engines while requests are served, and a data centre is taken
 out and brought back.
 
+With --platform it is a small deployment of the users' platform instead: a
+stand-in of its store, origin, engines and plain services, entries and agents as
+they run there, and callers.
+
 Examples:
   fulmardeal local
+  fulmardeal local --platform --for 10s
   fulmardeal local --model weights.bin --for 30s --report report.json
   fulmardeal local --settings examples/coop.toml`
 
@@ -31,11 +36,15 @@
 	Settings string        `long:"settings" description:"Settings of the local system" value-name:"FILE"`
 	Model    string        `long:"model" description:"File to spread; generated when none is given" value-name:"FILE"`
 	For      time.Duration `long:"for" description:"How long requests are sent" default:"20s"`
+	Platform bool          `long:"platform" description:"Run the small deployment of the users' platform"`
 	Report   string        `long:"report" description:"Write the report there, in JSON" value-name:"FILE"`
 }
 
 // Execute runs the job and prints its summary.
 func (c *local) Execute([]string) error {
+	if c.Platform {
+		return c.runPlatform()
+	}
 	s, err := processlocal.Read(c.Settings)
 	if err != nil {
 		return err
--- a/internal/cli/command/native.go
+++ b/internal/cli/command/native.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -46,16 +47,26 @@
 	if err != nil {
 		return err
 	}
-	store, closeStore := platform.NewStore(site.Store)
-	defer closeStore()
 	log, _, closeLog := logbook.New(c.env.out, c.env.level())
 	defer closeLog()
-	g, cleanup, err := gateway.New(gateway.Options{Site: site, Store: store, Codec: platform.Codec{}, Log: log, Seed: seedOf(), Metrics: c.Metrics, Dump: c.env.err})
+	run, cleanup, err := newEntry(site, log, c.Metrics, c.env.err)
 	if err != nil {
 		return err
 	}
 	defer cleanup()
-	return untilTerminated(log, g.Run)
+	return untilTerminated(log, run)
+}
+
+// newEntry sets up an entry. The second function returned releases what it
+// holds.
+func newEntry(site fulmardeal.Site, log *slog.Logger, metrics string, dump io.Writer) (func(context.Context) error, func(), error) {
+	store, closeStore := platform.NewStore(site.Store)
+	g, cleanup, err := gateway.New(gateway.Options{Site: site, Store: store, Codec: platform.Codec{}, Log: log, Seed: seedOf(), Metrics: metrics, Dump: dump})
+	if err != nil {
+		closeStore()
+		return nil, nil, err
+	}
+	return g.Run, func() { cleanup(); closeStore() }, nil
 }
 
 // loaderCommand runs an agent on the users' platform.
@@ -70,21 +81,31 @@
 	if err != nil {
 		return err
 	}
-	store, closeStore := platform.NewStore(site.Store)
-	defer closeStore()
-	engine, closeEngine := platform.NewEngine(site.Endpoint)
-	defer closeEngine()
 	log, _, closeLog := logbook.New(c.env.out, c.env.level())
 	defer closeLog()
+	run, cleanup, err := newAgent(site, log, c.Metrics, c.env.err)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	return untilTerminated(log, run)
+}
+
+// newAgent sets up an agent. The second function returned releases what it
+// holds.
+func newAgent(site fulmardeal.Site, log *slog.Logger, metrics string, dump io.Writer) (func(context.Context) error, func(), error) {
+	store, closeStore := platform.NewStore(site.Store)
+	engine, closeEngine := platform.NewEngine(site.Endpoint)
 	l, cleanup, err := loader.New(loader.Options{
-		Site: site, Store: store, Engine: engine, Log: log, Seed: seedOf(), Metrics: c.Metrics, Dump: c.env.err,
+		Site: site, Store: store, Engine: engine, Log: log, Seed: seedOf(), Metrics: metrics, Dump: dump,
 		Origin: func(address string) (fulmardeal.Origin, func()) { return platform.NewOrigin(address) },
 	})
 	if err != nil {
-		return err
+		closeEngine()
+		closeStore()
+		return nil, nil, err
 	}
-	defer cleanup()
-	return untilTerminated(log, l.Run)
+	return l.Run, func() { cleanup(); closeEngine(); closeStore() }, nil
 }
 
 // untilTerminated runs a process until it gets SIGTERM or an interrupt. SIGHUP
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -20,6 +20,7 @@
 	Seed    uint64
 	Length  time.Duration // of the part with faults
 	Faults  []Fault       // instead of those that the seed gives, when set
+	After   time.Duration // without faults; 0 is the time within which the system must serve again
 	Shape   Shape
 	Callers int
 	Starter Starter
@@ -77,9 +78,12 @@
 	}
 	before := w.serves(ctx)
 	w.play(ctx, plan, o)
-	pause(ctx, boundRecover-countFor)
+	if o.After == 0 {
+		o.After = boundRecover
+	}
+	pause(ctx, o.After-countFor)
 	if after := w.serves(ctx); ctx.Err() == nil && after < recoveredPart*before {
-		w.judge.breach(PromiseRecovery, "%.2f of the requests served %v after the faults, %.2f before", after, boundRecover, before)
+		w.judge.breach(PromiseRecovery, "%.2f of the requests served %v after the faults, %.2f before", after, o.After, before)
 	}
 	stop()
 	callers.Wait()
