--- a/internal/cli/command/inside.go
+++ b/internal/cli/command/inside.go
@@ -40,14 +40,14 @@
 	}
 	n := r.Counts
 	fmt.Fprintf(c.env.out, "requests  %d sent, %d served, %d refused, %d failed, %d left by their callers\n", n.Sent, n.Served, n.Refused, n.Failed, n.Left)
-	fmt.Fprintf(c.env.out, "promises  %d broken\n", len(r.Breaches))
-	for _, b := range r.Breaches {
+	fmt.Fprintf(c.env.out, "promises  %d broken\n", len(r.Violations))
+	for _, b := range r.Violations {
 		fmt.Fprintln(c.env.out, b)
 	}
 	if err := writeReport(c.Report, r); err != nil {
 		return err
 	}
-	if len(r.Breaches) > 0 {
+	if len(r.Violations) > 0 {
 		return errors.New("something went wrong that must not: see the summary")
 	}
 	return nil
--- a/internal/cli/command/soak.go
+++ b/internal/cli/command/soak.go
@@ -18,8 +18,8 @@
 connections that are delayed, reset, cut one way or silent, endpoints that crash,
 leave or misbehave, a store that fails, configurations and versions that change.
 The faults follow from the seed. What callers and endpoints see is checked all the
-while; the first line of each breach names the promise and the request. Logs of a
-run with a breach are kept; explain reads them.
+while; the first line of each violation names the promise and the request. Logs of a
+run with a violation are kept; explain reads them.
 
 Examples:
   fulmardeal soak --seed 7
@@ -71,13 +71,13 @@
 			return err
 		}
 		reports = append(reports, r)
-		broken += len(r.Breaches)
+		broken += len(r.Violations)
 	}
 	if err := writeReport(c.Report, reports); err != nil {
 		return err
 	}
 	if broken > 0 {
-		return fmt.Errorf("soak: %d breaches", broken)
+		return fmt.Errorf("soak: %d violations", broken)
 	}
 	return nil
 }
@@ -96,13 +96,13 @@
 	if err != nil {
 		return r, err
 	}
-	fmt.Fprintf(c.env.out, "seed=%d faults=%d sent=%d served=%d refused=%d failed=%d left=%d breaches=%d\n",
-		r.Seed, r.Faults, r.Counts.Sent, r.Counts.Served, r.Counts.Refused, r.Counts.Failed, r.Counts.Left, len(r.Breaches))
-	if len(r.Breaches) == 0 {
+	fmt.Fprintf(c.env.out, "seed=%d faults=%d sent=%d served=%d refused=%d failed=%d left=%d violations=%d\n",
+		r.Seed, r.Faults, r.Counts.Sent, r.Counts.Served, r.Counts.Refused, r.Counts.Failed, r.Counts.Left, len(r.Violations))
+	if len(r.Violations) == 0 {
 		remove()
 		return r, nil
 	}
-	for _, b := range r.Breaches {
+	for _, b := range r.Violations {
 		fmt.Fprintln(c.env.out, b)
 	}
 	fmt.Fprintf(c.env.out, "logs=%s\n", dir)
--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -76,11 +76,11 @@
 // are more than the links between regions carry. It is safe for concurrent use.
 type Relay struct {
 	mu    sync.Mutex
-	feeds map[string]*relayed
+	feeds map[string]*feedCopy
 }
 
-// relayed is one feed as it was read.
-type relayed struct {
+// feedCopy is one feed as it was read.
+type feedCopy struct {
 	age     func() (time.Duration, bool)
 	current map[string]Item
 	recent  []Item
@@ -95,9 +95,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.feeds == nil {
-		r.feeds = make(map[string]*relayed)
+		r.feeds = make(map[string]*feedCopy)
 	}
-	r.feeds[name] = &relayed{age: age, current: make(map[string]Item), wake: make(chan struct{})}
+	r.feeds[name] = &feedCopy{age: age, current: make(map[string]Item), wake: make(chan struct{})}
 }
 
 // Put takes over what was read of a feed.
--- a/internal/proof/soak/caller.go
+++ b/internal/proof/soak/caller.go
@@ -1,22 +1,17 @@
 package soak
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
-	"strconv"
 	"strings"
 	"time"
 
 	"fulmardeal"
-	"fulmardeal/internal/standin/site"
 	"fulmardeal/platform"
 )
 
@@ -100,7 +95,7 @@
 	}
 	platform.Counterpart{}.WriteFacts(q.Header, facts)
 	r.sent = time.Now()
-	j := c.world.judge
+	j := c.world.checker
 	j.send(r)
 	a, err := c.client.Do(q)
 	if err != nil {
@@ -119,109 +114,3 @@
 	}
 	return 0
 }
-
-// unanswered notes a request that got no answer.
-func (j *Judge) unanswered(r *request, err error, leaves bool) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	took := time.Since(r.sent)
-	var op *net.OpError
-	switch {
-	case leaves:
-		j.counts.Left++
-		return
-	case errors.As(err, &op) && op.Op == "dial":
-		j.counts.Failed++ // no entry was there
-		return
-	}
-	j.counts.Failed++
-	if took > r.route.Timeout+2*boundLate && j.calm(r.sent, entryScope(r.entry)) {
-		j.late = append(j.late, Breach{PromiseAnswered, r.attempt, time.Since(j.begun), fmt.Sprintf("no answer after %v of %v: %v", took, r.route.Timeout, err)})
-		return
-	}
-	if (took > lossSlack || len(r.runs) > 0) && j.quiet(r.sent) {
-		j.note(PromiseGraceful, r.attempt, "cut after %v, with nothing disturbed: %v", took, err)
-	}
-}
-
-// answered notes and checks an answer.
-func (j *Judge) answered(r *request, a *http.Response, body []byte, err error, leaves bool) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	switch {
-	case leaves && err != nil:
-		j.counts.Left++
-	case platform.Promises(a.StatusCode):
-		j.counts.Refused++
-		r.refused = true
-		if len(r.runs) > 0 && !r.route.Repeatable() {
-			j.note(PromiseRefusal, r.attempt, "status %d after it ran at %v", a.StatusCode, r.runs)
-		}
-	case a.StatusCode == http.StatusUnauthorized || a.StatusCode == http.StatusForbidden || a.StatusCode == http.StatusNotFound:
-		j.counts.Refused++
-		if !slices.ContainsFunc(j.taken, func(w wish) bool { return w.subject == r.key }) {
-			j.note(PromiseAdmitted, r.attempt, "status %d for %s %s", a.StatusCode, r.method, r.path)
-		}
-	case a.StatusCode != http.StatusOK:
-		j.counts.Failed++
-	case err != nil:
-		j.counts.Failed++
-		if j.quiet(r.sent) && time.Since(r.sent) < r.route.Timeout-boundLate {
-			j.note(PromiseGraceful, r.attempt, "cut after %d bytes, with nothing disturbed: %v", len(body), err)
-		}
-	default:
-		j.checkAnswer(r, platform.Counterpart{}.Signature(a.Header), body)
-	}
-}
-
-// checkAnswer checks a complete answer. The lock is held.
-func (j *Judge) checkAnswer(r *request, signature string, body []byte) {
-	j.counts.Served++
-	signed := func(data []byte) bool {
-		return slices.ContainsFunc(r.runs, func(id string) bool { return site.Signature(r.attempt, id, data) == signature })
-	}
-	if r.route.Kind == fulmardeal.KindStream {
-		if !signed(nil) {
-			j.note(PromiseWhole, r.attempt, "signature %q is of none of its runs %v", signature, r.runs)
-		}
-		if fault := checkEvents(r, body); fault != "" {
-			j.note(PromiseOrder, r.attempt, "%s", fault)
-		}
-		return
-	}
-	if !signed(body) {
-		j.note(PromiseWhole, r.attempt, "%d bytes with signature %q are of none of its runs %v", len(body), signature, r.runs)
-	}
-}
-
-// checkEvents returns what is wrong with a whole stream.
-func checkEvents(r *request, body []byte) string {
-	scan := bufio.NewScanner(bytes.NewReader(body))
-	n, ended, of := 0, false, ""
-	for scan.Scan() {
-		line := scan.Text()
-		if id, is := strings.CutPrefix(line, "id: "); is {
-			n++
-			if id != strconv.Itoa(n) {
-				return fmt.Sprintf("event %s where %d is due", id, n)
-			}
-			continue
-		}
-		data, is := strings.CutPrefix(line, "data: ")
-		if !is {
-			continue
-		}
-		words := strings.Fields(data)
-		switch {
-		case len(words) < 2 || words[0] != r.attempt:
-			return fmt.Sprintf("event %d is of another request: %q", n, data)
-		case of != "" && words[1] != of && !r.route.Resumable:
-			return fmt.Sprintf("event %d is of %s, those before of %s", n, words[1], of)
-		}
-		of, ended = words[1], len(words) == 3
-	}
-	if !ended {
-		return fmt.Sprintf("it ends as complete after event %d", n)
-	}
-	return ""
-}
--- a/internal/proof/soak/careless_test.go
+++ b/internal/proof/soak/careless_test.go
@@ -180,11 +180,11 @@
 		t.Skip("takes half a minute")
 	}
 	faults := []soak.Fault{
-		{Cause: soak.CauseEvacuate, Target: 0, For: 4 * time.Second},
-		{Cause: soak.CauseDrain, Target: 2}, // it is back under another id
-		{Cause: soak.CauseCutAnswers, Target: 3, For: 8 * time.Second},
-		{Cause: soak.CauseConfig, Target: soak.ChangeRead},
-		{Cause: soak.CauseConfig, Target: soak.ChangeKey},
+		{Kind: soak.FaultEvacuate, Target: 0, For: 4 * time.Second},
+		{Kind: soak.FaultDrain, Target: 2}, // it is back under another id
+		{Kind: soak.FaultCutAnswers, Target: 3, For: 8 * time.Second},
+		{Kind: soak.FaultConfig, Target: soak.ChangeRead},
+		{Kind: soak.FaultConfig, Target: soak.ChangeKey},
 	}
 	r, err := soak.Run(t.Context(), soak.Options{
 		Seed: 3, Faults: faults, Callers: 8, Starter: inside{}, Logs: t.TempDir(), Out: io.Discard,
@@ -195,8 +195,8 @@
 	}
 	for _, p := range []soak.Promise{soak.PromiseOnce, soak.PromiseRefusal, soak.PromiseUnchanged, soak.PromiseHome,
 		soak.PromiseConfig, soak.PromiseEvacuated, soak.PromiseDrained, soak.PromiseRevoked} {
-		if !slices.ContainsFunc(r.Breaches, func(b soak.Breach) bool { return b.Promise == p }) {
-			t.Errorf("no breach of %q was found in %+v", p, r.Counts)
+		if !slices.ContainsFunc(r.Violations, func(b soak.Violation) bool { return b.Promise == p }) {
+			t.Errorf("no violation of %q was found in %+v", p, r.Counts)
 		}
 	}
 }
--- a/internal/proof/soak/judge.go
+++ b/internal/proof/soak/checker.go
@@ -58,21 +58,21 @@
 	coldOver    = 1.5
 	coldSlack   = 5.0
 
-	// Some breaches count only when there are several.
+	// Some violations count only when there are several.
 	mostOverAttempts = 3
 	mostLate         = 8
 	recoveredPart    = 0.25 // of what was served before the faults
 )
 
-// Breach is a promise that was broken.
-type Breach struct {
+// Violation is a promise that was broken.
+type Violation struct {
 	Promise Promise       `json:"promise"`
 	Attempt string        `json:"attempt,omitempty"`
 	At      time.Duration `json:"at"`
 	Detail  string        `json:"detail"`
 }
 
-func (b Breach) String() string {
+func (b Violation) String() string {
 	return fmt.Sprintf("broken=%s at=%s attempt=%s detail=%q", b.Promise, b.At.Round(time.Millisecond), b.Attempt, b.Detail)
 }
 
@@ -103,8 +103,8 @@
 // scopeAll is the scope of what disturbs all processes.
 const scopeAll = "all"
 
-// wish is something that operators acknowledged: from then on only it holds.
-type wish struct {
+// requirement is something that operators acknowledged: from then on only it holds.
+type requirement struct {
 	at      time.Time
 	subject string // a route, a key, a data centre, an endpoint
 	service string // that the route goes to
@@ -112,25 +112,25 @@
 	ended   time.Time // when it was taken back
 }
 
-// Judge sees all that callers and endpoints see, and notes each broken promise.
+// Checker sees all that callers and endpoints see, and notes each broken promise.
 // It is safe for concurrent use.
-type Judge struct {
+type Checker struct {
 	regions map[string]string
 	begun   time.Time
 
-	mu        sync.Mutex
-	requests  map[string]*request
-	spans     []span
-	moved     []wish
-	taken     []wish
-	evacuated []wish
-	left      []wish
-	named     []wish
-	cold      map[string][]time.Time // arrivals at endpoints that are cold
-	breaches  []Breach
-	over      []Breach
-	late      []Breach
-	counts    Counts
+	mu         sync.Mutex
+	requests   map[string]*request
+	spans      []span
+	moved      []requirement
+	taken      []requirement
+	evacuated  []requirement
+	left       []requirement
+	named      []requirement
+	cold       map[string][]time.Time // arrivals at endpoints that are cold
+	violations []Violation
+	over       []Violation
+	late       []Violation
+	counts     Counts
 }
 
 // Counts say what a run did.
@@ -143,163 +143,163 @@
 	Runs    int `json:"runs"`
 }
 
-// NewJudge returns a judge of a run that begins now.
-func NewJudge(regions map[string]string) *Judge {
-	return &Judge{regions: regions, begun: time.Now(), requests: make(map[string]*request), cold: make(map[string][]time.Time)}
+// NewChecker returns a checker of a run that begins now.
+func NewChecker(regions map[string]string) *Checker {
+	return &Checker{regions: regions, begun: time.Now(), requests: make(map[string]*request), cold: make(map[string][]time.Time)}
 }
 
-// note records a breach. The lock is held.
-func (j *Judge) note(p Promise, attempt, format string, args ...any) {
-	j.breaches = append(j.breaches, Breach{Promise: p, Attempt: attempt, At: time.Since(j.begun), Detail: fmt.Sprintf(format, args...)})
+// note records a violation. The lock is held.
+func (c *Checker) note(p Promise, attempt, format string, args ...any) {
+	c.violations = append(c.violations, Violation{Promise: p, Attempt: attempt, At: time.Since(c.begun), Detail: fmt.Sprintf(format, args...)})
 }
 
 // Disturb notes that something is disturbed from now on; the returned function
 // ends that.
-func (j *Judge) Disturb(scope string) func() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	i := len(j.spans)
-	j.spans = append(j.spans, span{scope: scope, from: time.Now()})
+func (c *Checker) Disturb(scope string) func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := len(c.spans)
+	c.spans = append(c.spans, span{scope: scope, from: time.Now()})
 	return func() {
-		j.mu.Lock()
-		defer j.mu.Unlock()
-		j.spans[i].to = time.Now()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.spans[i].to = time.Now()
 	}
 }
 
 // calm reports whether none of the scopes was disturbed, or shortly before,
 // since a time. The lock is held.
-func (j *Judge) calm(since time.Time, scopes ...string) bool {
-	return !slices.ContainsFunc(j.spans, func(s span) bool {
+func (c *Checker) calm(since time.Time, scopes ...string) bool {
+	return !slices.ContainsFunc(c.spans, func(s span) bool {
 		return (s.scope == scopeAll || slices.Contains(scopes, s.scope)) && (s.to.IsZero() || s.to.Add(boundContact).After(since))
 	})
 }
 
 // quiet is calm for everything.
-func (j *Judge) quiet(since time.Time) bool {
-	return !slices.ContainsFunc(j.spans, func(s span) bool { return s.to.IsZero() || s.to.Add(boundContact).After(since) })
+func (c *Checker) quiet(since time.Time) bool {
+	return !slices.ContainsFunc(c.spans, func(s span) bool { return s.to.IsZero() || s.to.Add(boundContact).After(since) })
 }
 
 func entryScope(i int) string { return fmt.Sprintf("entry-%d", i) }
 
 // Moved notes that a route goes to another service from now on.
-func (j *Judge) Moved(route, service string, version int64) {
-	j.wish(&j.moved, wish{subject: route, service: service, version: version})
+func (c *Checker) Moved(route, service string, version int64) {
+	c.requirement(&c.moved, requirement{subject: route, service: service, version: version})
 }
 
 // Taken notes that a key is no longer valid.
-func (j *Judge) Taken(key string) { j.wish(&j.taken, wish{subject: key}) }
+func (c *Checker) Taken(key string) { c.requirement(&c.taken, requirement{subject: key}) }
 
 // Evacuated notes that a data centre is to get nothing; the returned function
 // takes that back.
-func (j *Judge) Evacuated(dataCentre string) func() {
-	return j.wish(&j.evacuated, wish{subject: dataCentre})
+func (c *Checker) Evacuated(dataCentre string) func() {
+	return c.requirement(&c.evacuated, requirement{subject: dataCentre})
 }
 
 // Left notes that an endpoint has said that it leaves.
-func (j *Judge) Left(endpoint string) { j.wish(&j.left, wish{subject: endpoint}) }
+func (c *Checker) Left(endpoint string) { c.requirement(&c.left, requirement{subject: endpoint}) }
 
 // Named notes that a version of the weights was named.
-func (j *Judge) Named(version int64) { j.wish(&j.named, wish{version: version}) }
+func (c *Checker) Named(version int64) { c.requirement(&c.named, requirement{version: version}) }
 
-func (j *Judge) wish(to *[]wish, w wish) func() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
+func (c *Checker) requirement(to *[]requirement, w requirement) func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	w.at = time.Now()
 	i := len(*to)
 	*to = append(*to, w)
 	return func() {
-		j.mu.Lock()
-		defer j.mu.Unlock()
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		(*to)[i].ended = time.Now()
 	}
 }
 
-// overdue returns a wish of a subject that must have been in force for some time
+// overdue returns a requirement of a subject that must have been in force for some time
 // at a moment.
-func overdue(wishes []wish, subject string, bound time.Duration, at time.Time) (wish, bool) {
-	for _, w := range wishes {
+func overdue(requirements []requirement, subject string, bound time.Duration, at time.Time) (requirement, bool) {
+	for _, w := range requirements {
 		if w.subject == subject && w.ended.IsZero() && at.Sub(w.at) > bound {
 			return w, true
 		}
 	}
-	return wish{}, false
+	return requirement{}, false
 }
 
 // send notes that a caller sends a request.
-func (j *Judge) send(r *request) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.requests[r.attempt] = r
-	j.counts.Sent++
+func (c *Checker) send(r *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests[r.attempt] = r
+	c.counts.Sent++
 }
 
 // Arrived checks a request that has reached an endpoint.
-func (j *Judge) Arrived(a site.Arrival) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	r := j.requests[a.Attempt]
+func (c *Checker) Arrived(a site.Arrival) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.requests[a.Attempt]
 	if r == nil {
-		j.note(PromiseUnchanged, a.Attempt, "no caller sent this attempt")
+		c.note(PromiseUnchanged, a.Attempt, "no caller sent this attempt")
 		return
 	}
 	r.arrivals = append(r.arrivals, a.Time)
-	j.checkUnchanged(r, a)
-	j.checkPlace(r, a)
+	c.checkUnchanged(r, a)
+	c.checkPlace(r, a)
 	left := r.deadline - a.Time.Sub(r.sent)
 	// A request that was held on its way says nothing about when it was sent.
-	if a.Forward.Deadline > left+boundLate && j.calm(r.sent, entryScope(r.entry), a.Endpoint.Address) {
-		j.note(PromiseDeadline, a.Attempt, "%v handed to %s with %v left", a.Forward.Deadline, a.Endpoint.ID, left)
+	if a.Forward.Deadline > left+boundLate && c.calm(r.sent, entryScope(r.entry), a.Endpoint.Address) {
+		c.note(PromiseDeadline, a.Attempt, "%v handed to %s with %v left", a.Forward.Deadline, a.Endpoint.ID, left)
 	}
 	if a.Endpoint.ColdLeft > 0 && a.Endpoint.Service == servicePlain {
-		j.checkCold(a)
+		c.checkCold(a)
 	}
 }
 
-func (j *Judge) checkUnchanged(r *request, a site.Arrival) {
+func (c *Checker) checkUnchanged(r *request, a site.Arrival) {
 	switch {
 	case a.Key != "":
-		j.note(PromiseUnchanged, a.Attempt, "the key was passed on to %s", a.Endpoint.ID)
+		c.note(PromiseUnchanged, a.Attempt, "the key was passed on to %s", a.Endpoint.ID)
 	case a.Method != r.method || a.Path != r.path:
-		j.note(PromiseUnchanged, a.Attempt, "%s %s became %s %s", r.method, r.path, a.Method, a.Path)
+		c.note(PromiseUnchanged, a.Attempt, "%s %s became %s %s", r.method, r.path, a.Method, a.Path)
 	case !bytes.Equal(a.Body, r.body):
-		j.note(PromiseUnchanged, a.Attempt, "a body of %d bytes became another one of %d", len(r.body), len(a.Body))
+		c.note(PromiseUnchanged, a.Attempt, "a body of %d bytes became another one of %d", len(r.body), len(a.Body))
 	case a.Forward.Customer != r.customer.Name:
-		j.note(PromiseUnchanged, a.Attempt, "sent by %s, passed on for %q", r.customer.Name, a.Forward.Customer)
+		c.note(PromiseUnchanged, a.Attempt, "sent by %s, passed on for %q", r.customer.Name, a.Forward.Customer)
 	}
 }
 
 // checkPlace checks that the endpoint may get the request at this moment.
-func (j *Judge) checkPlace(r *request, a site.Arrival) {
-	region := j.regions[a.Endpoint.DataCentre]
+func (c *Checker) checkPlace(r *request, a site.Arrival) {
+	region := c.regions[a.Endpoint.DataCentre]
 	for _, homes := range [][]string{r.route.Homes, r.customer.Homes} {
 		if len(homes) > 0 && !slices.Contains(homes, region) {
-			j.note(PromiseHome, a.Attempt, "%s is in %s, the homes are %v", a.Endpoint.ID, region, homes)
+			c.note(PromiseHome, a.Attempt, "%s is in %s, the homes are %v", a.Endpoint.ID, region, homes)
 		}
 	}
-	if w, is := overdue(j.taken, r.key, boundRevoke, r.sent); is {
-		j.note(PromiseRevoked, a.Attempt, "sent %v after the key was taken", r.sent.Sub(w.at))
+	if w, is := overdue(c.taken, r.key, boundRevoke, r.sent); is {
+		c.note(PromiseRevoked, a.Attempt, "sent %v after the key was taken", r.sent.Sub(w.at))
 	}
 	entry := entryScope(r.entry)
-	if w, is := overdue(j.evacuated, a.Endpoint.DataCentre, boundEvacuate, a.Time); is && j.calm(w.at, entry) {
-		j.note(PromiseEvacuated, a.Attempt, "%s got it %v after its data centre was taken out", a.Endpoint.ID, a.Time.Sub(w.at))
+	if w, is := overdue(c.evacuated, a.Endpoint.DataCentre, boundEvacuate, a.Time); is && c.calm(w.at, entry) {
+		c.note(PromiseEvacuated, a.Attempt, "%s got it %v after its data centre was taken out", a.Endpoint.ID, a.Time.Sub(w.at))
 	}
-	if w, is := overdue(j.left, a.Endpoint.ID, boundDrain, a.Time); is && j.calm(w.at, entry) {
-		j.note(PromiseDrained, a.Attempt, "%s got it %v after it said that it leaves", a.Endpoint.ID, a.Time.Sub(w.at))
+	if w, is := overdue(c.left, a.Endpoint.ID, boundDrain, a.Time); is && c.calm(w.at, entry) {
+		c.note(PromiseDrained, a.Attempt, "%s got it %v after it said that it leaves", a.Endpoint.ID, a.Time.Sub(w.at))
 	}
-	j.checkRoute(r, a)
+	c.checkRoute(r, a)
 }
 
 // checkRoute checks the service: no configuration that may be in force allows
 // any other.
-func (j *Judge) checkRoute(r *request, a site.Arrival) {
+func (c *Checker) checkRoute(r *request, a site.Arrival) {
 	allowed := []string{r.route.Shares[0].Service}
 	var since time.Time
-	for _, w := range j.moved {
+	for _, w := range c.moved {
 		if w.subject != r.route.Name {
 			continue
 		}
-		if r.sent.Sub(w.at) > boundConfig && j.calm(w.at, entryScope(r.entry)) {
+		if r.sent.Sub(w.at) > boundConfig && c.calm(w.at, entryScope(r.entry)) {
 			allowed = nil
 			since = w.at
 		}
@@ -309,93 +309,93 @@
 		return
 	}
 	if since.IsZero() {
-		j.note(PromiseRoute, a.Attempt, "%s of %s got it; allowed are %v", a.Endpoint.ID, a.Endpoint.Service, allowed)
+		c.note(PromiseRoute, a.Attempt, "%s of %s got it; allowed are %v", a.Endpoint.ID, a.Endpoint.Service, allowed)
 		return
 	}
-	j.note(PromiseConfig, a.Attempt, "%s of %s got it %v after the route went to %v", a.Endpoint.ID, a.Endpoint.Service, r.sent.Sub(since), allowed)
+	c.note(PromiseConfig, a.Attempt, "%s of %s got it %v after the route went to %v", a.Endpoint.ID, a.Endpoint.Service, r.sent.Sub(since), allowed)
 }
 
 // checkCold counts the requests that an endpoint gets while it is cold.
-func (j *Judge) checkCold(a site.Arrival) {
-	all := append(j.cold[a.Endpoint.ID], a.Time)
+func (c *Checker) checkCold(a site.Arrival) {
+	all := append(c.cold[a.Endpoint.ID], a.Time)
 	all = slices.DeleteFunc(all, func(t time.Time) bool { return a.Time.Sub(t) > time.Second })
-	j.cold[a.Endpoint.ID] = all
+	c.cold[a.Endpoint.ID] = all
 	if float64(len(all)) > coldRate*coldOver+coldSlack {
-		j.note(PromiseCold, a.Attempt, "%s got %d in a second", a.Endpoint.ID, len(all))
+		c.note(PromiseCold, a.Attempt, "%s got %d in a second", a.Endpoint.ID, len(all))
 	}
 }
 
 // Began checks a request that an endpoint runs.
-func (j *Judge) Began(a site.Arrival) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.counts.Runs++
-	r := j.requests[a.Attempt]
+func (c *Checker) Began(a site.Arrival) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Runs++
+	r := c.requests[a.Attempt]
 	if r == nil {
 		return // noted when it arrived
 	}
 	r.runs = append(r.runs, a.Endpoint.ID)
 	if !r.route.Repeatable() {
 		if len(r.runs) > 1 {
-			j.note(PromiseOnce, a.Attempt, "ran at %v", r.runs)
+			c.note(PromiseOnce, a.Attempt, "ran at %v", r.runs)
 		}
 		if r.refused {
-			j.note(PromiseRefusal, a.Attempt, "ran at %s after its refusal", a.Endpoint.ID)
+			c.note(PromiseRefusal, a.Attempt, "ran at %s after its refusal", a.Endpoint.ID)
 		}
 	}
 	if len(r.runs) > r.route.Attempts {
-		j.over = append(j.over, Breach{PromiseRepeats, a.Attempt, time.Since(j.begun), fmt.Sprintf("ran at %v, %d are allowed", r.runs, r.route.Attempts)})
+		c.over = append(c.over, Violation{PromiseRepeats, a.Attempt, time.Since(c.begun), fmt.Sprintf("ran at %v, %d are allowed", r.runs, r.route.Attempts)})
 	}
 	if a.Incomplete {
-		j.note(PromiseIntact, a.Attempt, "%s answers with weights that differ from version %d", a.Endpoint.ID, a.Version)
+		c.note(PromiseIntact, a.Attempt, "%s answers with weights that differ from version %d", a.Endpoint.ID, a.Version)
 	}
 	if a.Version > 0 {
-		j.checkWeights(a)
+		c.checkWeights(a)
 	}
 }
 
 // checkWeights checks that no newer version has been named for too long. That
 // time counts only when nothing was disturbed in it.
-func (j *Judge) checkWeights(a site.Arrival) {
-	for _, w := range j.named {
-		if w.version > a.Version && a.Time.Sub(w.at) > boundWeights && j.quiet(w.at) {
-			j.note(PromiseWeights, a.Attempt, "%s began on version %d, %v after version %d was named", a.Endpoint.ID, a.Version, a.Time.Sub(w.at), w.version)
+func (c *Checker) checkWeights(a site.Arrival) {
+	for _, w := range c.named {
+		if w.version > a.Version && a.Time.Sub(w.at) > boundWeights && c.quiet(w.at) {
+			c.note(PromiseWeights, a.Attempt, "%s began on version %d, %v after version %d was named", a.Endpoint.ID, a.Version, a.Time.Sub(w.at), w.version)
 			return
 		}
 	}
 }
 
 // Verdict returns what was done and what was broken.
-func (j *Judge) Verdict() (Counts, []Breach) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	out := slices.Clone(j.breaches)
-	if len(j.over) > mostOverAttempts {
-		out = append(out, j.over...)
+func (c *Checker) Verdict() (Counts, []Violation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := slices.Clone(c.violations)
+	if len(c.over) > mostOverAttempts {
+		out = append(out, c.over...)
 	}
-	if len(j.late) >= mostLate {
-		out = append(out, j.late...)
+	if len(c.late) >= mostLate {
+		out = append(out, c.late...)
 	}
-	out = append(out, j.repeats()...)
-	slices.SortFunc(out, func(a, b Breach) int { return int(a.At - b.At) })
-	return j.counts, out
+	out = append(out, c.repeats()...)
+	slices.SortFunc(out, func(a, b Violation) int { return int(a.At - b.At) })
+	return c.counts, out
 }
 
 // repeats checks the budget of repeats in windows that begin each half a second.
 // The requests of a window are those of that one, the one before, or the one half
 // a window before, whichever are most. The lock is held.
-func (j *Judge) repeats() []Breach {
+func (c *Checker) repeats() []Violation {
 	const step = time.Second / 2
 	const width = int(repeatEvery / step)
 	var sent, again []int
 	put := func(to *[]int, at time.Time) {
-		i := int(at.Sub(j.begun) / step)
+		i := int(at.Sub(c.begun) / step)
 		for len(*to) <= i {
 			*to = append(*to, 0)
 		}
 		(*to)[i]++
 	}
-	for _, r := range j.requests {
+	for _, r := range c.requests {
 		put(&sent, r.sent)
 		for _, at := range r.arrivals[min(1, len(r.arrivals)):] {
 			put(&again, at)
@@ -411,7 +411,7 @@
 	for from := range again {
 		requests := max(sum(sent, from), sum(sent, from-width), sum(sent, from-width/2))
 		if n := sum(again, from); float64(n) > repeatRatio*float64(requests)+repeatExtra {
-			return []Breach{{PromiseRepeats, "", time.Duration(from) * step, fmt.Sprintf("%d repeats of %d requests in %v", n, requests, repeatEvery)}}
+			return []Violation{{PromiseRepeats, "", time.Duration(from) * step, fmt.Sprintf("%d repeats of %d requests in %v", n, requests, repeatEvery)}}
 		}
 	}
 	return nil
--- a/internal/proof/soak/judge_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -14,15 +14,15 @@
 	"fulmardeal/platform"
 )
 
-// scene is a judge with a request of a kind on its way.
+// scene is a checker with a request of a kind on its way.
 type scene struct {
-	*Judge
+	*Checker
 	r *request
 	a site.Arrival
 }
 
 func newScene(kind fulmardeal.Kind, resumable bool) *scene {
-	s := &scene{Judge: NewJudge(map[string]string{"a": "region-a", "b": "region-b"})}
+	s := &scene{Checker: NewChecker(map[string]string{"a": "region-a", "b": "region-b"})}
 	route := &fulmardeal.Route{Name: "x", Kind: kind, Resumable: resumable, Attempts: 2, Timeout: 2 * time.Second,
 		Shares: []fulmardeal.Share{{Service: servicePlain, Weight: 1}}}
 	s.r = &request{attempt: "c1", route: route, customer: &fulmardeal.Customer{Name: "florist"}, key: "f1", method: "POST", path: "/x/1",
@@ -77,8 +77,8 @@
 	return text
 }
 
-// TestJudge breaks each promise alone, and does what is nearest to breaking it.
-func TestJudge(t *testing.T) {
+// TestChecker breaks each promise alone, and does what is nearest to breaking it.
+func TestChecker(t *testing.T) {
 	const once, read, stream = fulmardeal.KindOnce, fulmardeal.KindIdempotent, fulmardeal.KindStream
 	tests := []struct {
 		name   string
@@ -177,10 +177,10 @@
 				s := newScene(tc.kind, false)
 				s.send(s.r)
 				tc.do(s)
-				_, breaches := s.Verdict()
-				broken := func(b Breach) bool { return b.Promise == tc.breaks }
-				if tc.breaks == "" && len(breaches) > 0 || tc.breaks != "" && (len(breaches) == 0 || slices.ContainsFunc(breaches, func(b Breach) bool { return !broken(b) })) {
-					t.Errorf("breaches %v, want only %q", breaches, tc.breaks)
+				_, violations := s.Verdict()
+				broken := func(b Violation) bool { return b.Promise == tc.breaks }
+				if tc.breaks == "" && len(violations) > 0 || tc.breaks != "" && (len(violations) == 0 || slices.ContainsFunc(violations, func(b Violation) bool { return !broken(b) })) {
+					t.Errorf("violations %v, want only %q", violations, tc.breaks)
 				}
 			})
 		})
@@ -213,20 +213,20 @@
 // exists.
 func TestPlan(t *testing.T) {
 	shape := Shape{Entries: 2, Engines: 3, Plain: 4, DataCentres: 2}
-	seen := make(map[Cause]bool)
+	seen := make(map[Kind]bool)
 	for seed := range uint64(20) {
 		a, b := Plan(seed, shape, time.Minute), Plan(seed, shape, time.Minute)
 		if !slices.Equal(a, b) {
 			t.Fatalf("seed %d gives two plans", seed)
 		}
 		for i, f := range a {
-			seen[f.Cause] = true
+			seen[f.Kind] = true
 			if f.Target < 0 || f.Target >= 7 || f.For < leastFor || i > 0 && f.At < a[i-1].At {
 				t.Errorf("seed %d: %v", seed, f)
 			}
 		}
 	}
-	if len(seen) != len(causes) {
-		t.Errorf("only %d of %d causes come in 20 plans", len(seen), len(causes))
+	if len(seen) != len(kinds) {
+		t.Errorf("only %d of %d kinds come in 20 plans", len(seen), len(kinds))
 	}
 }
--- a/internal/proof/soak/plan.go
+++ b/internal/proof/soak/plan.go
@@ -10,93 +10,94 @@
 	"time"
 )
 
-// Cause is a kind of fault.
-type Cause string
+// Kind is a kind of fault.
+type Kind string
 
 // The faults.
 const (
-	CauseKill       Cause = "kill"       // of an entry or agent, which is started again
-	CauseTerminate  Cause = "terminate"  // the same, by SIGTERM
-	CausePause      Cause = "pause"      // by SIGSTOP and SIGCONT
-	CauseReload     Cause = "reload"     // SIGHUP
-	CauseStoreDown  Cause = "store-down" // for all
-	CauseStoreMute  Cause = "store-mute"
-	CauseStoreSlow  Cause = "store-slow"
-	CauseStoreLossy Cause = "store-lossy"
-	CauseCutStore   Cause = "cut-store"     // between the store and one process
-	CauseCrash      Cause = "crash"         // of an endpoint, which starts again
-	CausePower      Cause = "power"         // the same, and what it had staged is lost
-	CauseDrain      Cause = "drain"         // of an endpoint, which starts again
-	CauseSlow       Cause = "slow"          // an endpoint
-	CauseCutAnswers Cause = "cut-answers"   // of an endpoint
-	CauseHang       Cause = "hang"          // an endpoint
-	CauseDelay      Cause = "delay"         // on the way to an endpoint
-	CauseReset      Cause = "reset"         // connections to an endpoint
-	CauseOneWay     Cause = "one-way"       // nothing reaches an endpoint
-	CauseOtherWay   Cause = "other-way"     // nothing comes from an endpoint
-	CauseRefuse     Cause = "refuse"        // an endpoint's new connections are reset
-	CauseConfig     Cause = "configuration" // the operator moves a route or takes a key
-	CauseEvacuate   Cause = "evacuate"      // a data centre
-	CauseName       Cause = "name"          // a version of the weights
-	CauseAll        Cause = "kill-all"      // of entries and agents at once
+	FaultKill       Kind = "kill"       // of an entry or agent, which is started again
+	FaultTerminate  Kind = "terminate"  // the same, by SIGTERM
+	FaultPause      Kind = "pause"      // by SIGSTOP and SIGCONT
+	FaultReload     Kind = "reload"     // SIGHUP
+	FaultStoreDown  Kind = "store-down" // for all
+	FaultStoreMute  Kind = "store-mute"
+	FaultStoreSlow  Kind = "store-slow"
+	FaultStoreLossy Kind = "store-lossy"
+	FaultCutStore   Kind = "cut-store"     // between the store and one process
+	FaultCrash      Kind = "crash"         // of an endpoint, which starts again
+	FaultPower      Kind = "power"         // the same, and what it had staged is lost
+	FaultDrain      Kind = "drain"         // of an endpoint, which starts again
+	FaultSlow       Kind = "slow"          // an endpoint
+	FaultCutAnswers Kind = "cut-answers"   // of an endpoint
+	FaultHang       Kind = "hang"          // an endpoint
+	FaultDelay      Kind = "delay"         // on the way to an endpoint
+	FaultReset      Kind = "reset"         // connections to an endpoint
+	FaultOneWay     Kind = "one-way"       // nothing reaches an endpoint
+	FaultOtherWay   Kind = "other-way"     // nothing comes from an endpoint
+	FaultRefuse     Kind = "refuse"        // an endpoint's new connections are reset
+	FaultConfig     Kind = "configuration" // the operator moves a route or takes a key
+	FaultEvacuate   Kind = "evacuate"      // a data centre
+	FaultName       Kind = "name"          // a version of the weights
+	FaultAll        Kind = "kill-all"      // of entries and agents at once
 )
 
-// aim is what a cause may strike.
-type aim int
+// targetKind says what a fault may strike.
+type targetKind int
 
 const (
-	aimNothing aim = iota
-	aimProcess
-	aimEndpoint
-	aimDataCentre
-	aimChange // of the configuration: a route to move, or a key to take
+	targetNothing targetKind = iota
+	targetProcess
+	targetEndpoint
+	targetDataCentre
+	targetChange // of the configuration: a route to move, or a key to take
 )
 
-// causes are the faults with what they strike and how often they are drawn.
-var causes = []struct {
-	cause  Cause
-	aim    aim
-	weight int
+// kinds are the kinds of faults, with what they may strike and how often they
+// are drawn.
+var kinds = []struct {
+	kind       Kind
+	targetKind targetKind
+	weight     int
 }{
-	{CauseKill, aimProcess, 4},
-	{CauseTerminate, aimProcess, 4},
-	{CausePause, aimProcess, 4},
-	{CauseReload, aimProcess, 1},
-	{CauseStoreDown, aimNothing, 2},
-	{CauseStoreMute, aimNothing, 2},
-	{CauseStoreSlow, aimNothing, 1},
-	{CauseStoreLossy, aimNothing, 2},
-	{CauseCutStore, aimProcess, 3},
-	{CauseCrash, aimEndpoint, 4},
-	{CausePower, aimEndpoint, 2},
-	{CauseDrain, aimEndpoint, 4},
-	{CauseSlow, aimEndpoint, 2},
-	{CauseCutAnswers, aimEndpoint, 3},
-	{CauseHang, aimEndpoint, 2},
-	{CauseDelay, aimEndpoint, 2},
-	{CauseReset, aimEndpoint, 3},
-	{CauseOneWay, aimEndpoint, 3},
-	{CauseOtherWay, aimEndpoint, 3},
-	{CauseRefuse, aimEndpoint, 2},
-	{CauseConfig, aimChange, 4},
-	{CauseEvacuate, aimDataCentre, 2},
-	{CauseName, aimNothing, 3},
-	{CauseAll, aimNothing, 1},
+	{FaultKill, targetProcess, 4},
+	{FaultTerminate, targetProcess, 4},
+	{FaultPause, targetProcess, 4},
+	{FaultReload, targetProcess, 1},
+	{FaultStoreDown, targetNothing, 2},
+	{FaultStoreMute, targetNothing, 2},
+	{FaultStoreSlow, targetNothing, 1},
+	{FaultStoreLossy, targetNothing, 2},
+	{FaultCutStore, targetProcess, 3},
+	{FaultCrash, targetEndpoint, 4},
+	{FaultPower, targetEndpoint, 2},
+	{FaultDrain, targetEndpoint, 4},
+	{FaultSlow, targetEndpoint, 2},
+	{FaultCutAnswers, targetEndpoint, 3},
+	{FaultHang, targetEndpoint, 2},
+	{FaultDelay, targetEndpoint, 2},
+	{FaultReset, targetEndpoint, 3},
+	{FaultOneWay, targetEndpoint, 3},
+	{FaultOtherWay, targetEndpoint, 3},
+	{FaultRefuse, targetEndpoint, 2},
+	{FaultConfig, targetChange, 4},
+	{FaultEvacuate, targetDataCentre, 2},
+	{FaultName, targetNothing, 3},
+	{FaultAll, targetNothing, 1},
 }
 
 // Fault is one disturbance.
 type Fault struct {
 	At     time.Duration // from the start
 	For    time.Duration
-	Cause  Cause
+	Kind   Kind
 	Target int // index of what it strikes
 }
 
 func (f Fault) String() string {
-	return fmt.Sprintf("at=%s for=%s cause=%s target=%d", f.At, f.For, f.Cause, f.Target)
+	return fmt.Sprintf("at=%s for=%s kind=%s target=%d", f.At, f.For, f.Kind, f.Target)
 }
 
-// Targets of CauseConfig. Those before ChangeKey are routes to move.
+// Targets of FaultConfig. Those before ChangeKey are routes to move.
 const (
 	ChangeRead = iota
 	ChangeOrder
@@ -105,12 +106,12 @@
 
 // PlanError says which line of a plan is wrong.
 type PlanError struct {
-	File  string
-	Line  int
-	Cause string
+	File   string
+	Line   int
+	Reason string
 }
 
-func (e *PlanError) Error() string { return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Cause) }
+func (e *PlanError) Error() string { return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Reason) }
 
 // ReadPlan reads faults as a run prints them, a line each. Lines that begin with
 // # are comments.
@@ -125,9 +126,9 @@
 		if line == "" || strings.HasPrefix(line, "#") {
 			continue
 		}
-		f, cause := parseFault(line, s)
-		if cause != "" {
-			return nil, &PlanError{File: file, Line: i + 1, Cause: cause}
+		f, reason := parseFault(line, s)
+		if reason != "" {
+			return nil, &PlanError{File: file, Line: i + 1, Reason: reason}
 		}
 		out = append(out, f)
 	}
@@ -145,27 +146,27 @@
 			f.At, err = time.ParseDuration(value)
 		case "for":
 			f.For, err = time.ParseDuration(value)
-		case "cause":
-			f.Cause = Cause(value)
+		case "kind":
+			f.Kind = Kind(value)
 		case "target":
 			f.Target, err = strconv.Atoi(value)
 		default:
-			return f, fmt.Sprintf("%q is not at, for, cause or target", name)
+			return f, fmt.Sprintf("%q is not at, for, kind or target", name)
 		}
 		if err != nil {
 			return f, fmt.Sprintf("%s: %v", name, err)
 		}
 	}
-	for _, c := range causes {
-		if c.cause != f.Cause {
+	for _, k := range kinds {
+		if k.kind != f.Kind {
 			continue
 		}
-		if most := s.targets(c.aim); f.Target < 0 || f.Target >= most {
+		if most := s.targets(k.targetKind); f.Target < 0 || f.Target >= most {
 			return f, fmt.Sprintf("target %d of %d", f.Target, most)
 		}
 		return f, ""
 	}
-	return f, fmt.Sprintf("no cause is called %q", f.Cause)
+	return f, fmt.Sprintf("no fault is called %q", f.Kind)
 }
 
 const (
@@ -184,16 +185,16 @@
 	DataCentres int
 }
 
-// targets returns how many things an aim may strike.
-func (s Shape) targets(a aim) int {
+// targets returns how many things an targetKind may inject.
+func (s Shape) targets(a targetKind) int {
 	switch a {
-	case aimProcess:
+	case targetProcess:
 		return s.Entries + s.Engines
-	case aimEndpoint:
+	case targetEndpoint:
 		return s.Engines + s.Plain
-	case aimDataCentre:
+	case targetDataCentre:
 		return s.DataCentres
-	case aimChange:
+	case targetChange:
 		return ChangeKey + 1
 	}
 	return 1
@@ -204,14 +205,14 @@
 func Plan(seed uint64, s Shape, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 0))
 	total := 0
-	for _, c := range causes {
-		total += c.weight
+	for _, k := range kinds {
+		total += k.weight
 	}
 	var out []Fault
 	for at := meanPause; at < length; at += time.Duration(random.ExpFloat64() * float64(meanPause)) {
 		draw, i := random.IntN(total), 0
-		for draw >= causes[i].weight {
-			draw -= causes[i].weight
+		for draw >= kinds[i].weight {
+			draw -= kinds[i].weight
 			i++
 		}
 		n := 1
@@ -222,8 +223,8 @@
 			out = append(out, Fault{
 				At:     (at + time.Duration(k)*leastFor).Round(time.Millisecond),
 				For:    (leastFor + time.Duration(random.Float64()*float64(mostFor-leastFor))).Round(time.Millisecond),
-				Cause:  causes[i].cause,
-				Target: random.IntN(s.targets(causes[i].aim)),
+				Kind:   kinds[i].kind,
+				Target: random.IntN(s.targets(kinds[i].targetKind)),
 			})
 		}
 	}
--- a/internal/proof/soak/process.go
+++ b/internal/proof/soak/process.go
@@ -133,11 +133,11 @@
 		expected := m.stopping
 		m.mu.Unlock()
 		if !expected {
-			f.world.judge.breach(PromiseGraceful, "%s ended by itself: %v", m.site.Name, p.Err())
+			f.world.checker.violation(PromiseGraceful, "%s ended by itself: %v", m.site.Name, p.Err())
 		}
 		time.Sleep(restartAfter)
 		if err := f.start(i); err != nil {
-			f.world.judge.breach(PromiseGraceful, "%s did not start again: %v", m.site.Name, err)
+			f.world.checker.violation(PromiseGraceful, "%s did not start again: %v", m.site.Name, err)
 		}
 	})
 	return nil
@@ -166,10 +166,10 @@
 	select {
 	case <-p.Done():
 		if err := p.Err(); err != nil {
-			f.world.judge.breach(PromiseGraceful, "%s ended on SIGTERM with %v", f.members[i].site.Name, err)
+			f.world.checker.violation(PromiseGraceful, "%s ended on SIGTERM with %v", f.members[i].site.Name, err)
 		}
 	case <-time.After(boundGrace):
-		f.world.judge.breach(PromiseGraceful, "%s still runs %v after SIGTERM", f.members[i].site.Name, boundGrace)
+		f.world.checker.violation(PromiseGraceful, "%s still runs %v after SIGTERM", f.members[i].site.Name, boundGrace)
 		_ = p.Signal(syscall.SIGKILL) // it may have ended just now
 	}
 }
@@ -232,9 +232,9 @@
 
 func (f *fleet) address(i int) string { return f.members[i].site.Callers }
 
-// breach notes a breach that belongs to no request.
-func (j *Judge) breach(p Promise, format string, args ...any) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.note(p, "", "%s", fmt.Sprintf(format, args...))
+// violation notes a violation that belongs to no request.
+func (c *Checker) violation(p Promise, format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.note(p, "", "%s", fmt.Sprintf(format, args...))
 }
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -30,10 +30,10 @@
 
 // Report is what a run found.
 type Report struct {
-	Seed     uint64   `json:"seed"`
-	Faults   int      `json:"faults"`
-	Counts   Counts   `json:"counts"`
-	Breaches []Breach `json:"breaches"`
+	Seed       uint64      `json:"seed"`
+	Faults     int         `json:"faults"`
+	Counts     Counts      `json:"counts"`
+	Violations []Violation `json:"violations"`
 }
 
 const (
@@ -58,7 +58,7 @@
 	defer close(done)
 	w.write(platform.ConfigRecord(&w.current))
 	w.write(platform.NamingRecord(fulmardeal.Naming{Model: modelName, Version: w.weights}))
-	background.Go(func() { w.beats(done) })
+	background.Go(func() { w.registerEndpoints(done) })
 	defer w.fleet.close()
 	for i := range w.fleet.members {
 		if err := w.fleet.start(i); err != nil {
@@ -83,12 +83,12 @@
 	}
 	pause(ctx, o.After-countFor)
 	if after := w.serves(ctx); ctx.Err() == nil && after < recoveredPart*before {
-		w.judge.breach(PromiseRecovery, "%.2f of the requests served %v after the faults, %.2f before", after, o.After, before)
+		w.checker.violation(PromiseRecovery, "%.2f of the requests served %v after the faults, %.2f before", after, o.After, before)
 	}
 	stop()
 	callers.Wait()
-	counts, breaches := w.judge.Verdict()
-	return Report{Seed: o.Seed, Faults: len(plan), Counts: counts, Breaches: breaches}, ctx.Err()
+	counts, violations := w.checker.Verdict()
+	return Report{Seed: o.Seed, Faults: len(plan), Counts: counts, Violations: violations}, ctx.Err()
 }
 
 // awaitReady waits until all entries are in rotation.
@@ -117,9 +117,9 @@
 // serves returns the part of the requests that is served in the next seconds.
 func (w *world) serves(ctx context.Context) float64 {
 	count := func() Counts {
-		w.judge.mu.Lock()
-		defer w.judge.mu.Unlock()
-		return w.judge.counts
+		w.checker.mu.Lock()
+		defer w.checker.mu.Unlock()
+		return w.checker.counts
 	}
 	a := count()
 	pause(ctx, countFor)
@@ -139,7 +139,7 @@
 			return
 		}
 		fmt.Fprintln(o.Out, f)
-		faults.Go(func() { w.strike(f) })
+		faults.Go(func() { w.inject(f) })
 	}
 }
 
--- a/internal/proof/soak/world.go
+++ b/internal/proof/soak/world.go
@@ -50,7 +50,7 @@
 // world is one run's deployment: the platform's stand-in, the system and the
 // operator.
 type world struct {
-	judge     *Judge
+	checker   *Checker
 	shape     Shape
 	prefix    string // of all loopback addresses of this run
 	store     *site.Store
@@ -95,7 +95,7 @@
 	for i := range shape.DataCentres {
 		w.regions[dataCentre(i)] = "region-" + dataCentre(i)
 	}
-	w.judge = NewJudge(w.regions)
+	w.checker = NewChecker(w.regions)
 	w.fleet = &fleet{world: w, starter: starter, entries: shape.Entries, dir: dir, closing: make(chan struct{})}
 	w.configure()
 	if err := w.serve(w.address(0, portStore), w.store.Handler()); err != nil {
@@ -139,7 +139,7 @@
 	}
 	o := site.EndpointOptions{
 		Service: serviceModel, DataCentre: place, Address: w.address(1+n, portEndpoint), Listen: w.address(1+n, portBehind), Slots: slots,
-		Work: eventWork, Engine: w.engine(), Origin: w.origin, Witness: w.judge,
+		Work: eventWork, Engine: w.engine(), Origin: w.origin, Witness: w.checker,
 	}
 	if k := n - s.Entries - s.Engines; k >= 0 {
 		o.Service, o.Work, o.Engine, o.Cold = servicePlain, plainWork, nil, boundCold
@@ -243,9 +243,9 @@
 	w.store.Append(string(platform.TopicOperator), []platform.Record{r})
 }
 
-// beats registers the endpoints, as they do themselves, and removes those that
+// registerEndpoints registers the endpoints, as they do themselves, and removes those that
 // have been silent.
-func (w *world) beats(done <-chan struct{}) {
+func (w *world) registerEndpoints(done <-chan struct{}) {
 	type known struct {
 		id   string
 		last time.Time
@@ -283,30 +283,30 @@
 	w.store.Append(string(platform.TopicRegistrations), []platform.Record{r})
 }
 
-// strike makes a fault happen, and returns when it has ended.
-func (w *world) strike(f Fault) {
-	switch f.Cause {
-	case CauseKill, CauseTerminate, CausePause, CauseReload, CauseCutStore:
-		w.strikeMember(f)
-	case CauseStoreDown, CauseStoreMute, CauseStoreSlow, CauseStoreLossy:
-		w.strikeStore(f)
-	case CauseConfig:
+// inject makes a fault happen, and returns when it has ended.
+func (w *world) inject(f Fault) {
+	switch f.Kind {
+	case FaultKill, FaultTerminate, FaultPause, FaultReload, FaultCutStore:
+		w.injectMember(f)
+	case FaultStoreDown, FaultStoreMute, FaultStoreSlow, FaultStoreLossy:
+		w.injectStore(f)
+	case FaultConfig:
 		w.change(f.Target)
-	case CauseName:
+	case FaultName:
 		w.name()
-	case CauseEvacuate:
+	case FaultEvacuate:
 		w.evacuate(f)
-	case CauseAll:
+	case FaultAll:
 		for i := range w.fleet.members {
-			go w.strikeMember(Fault{Cause: CauseKill, For: f.For, Target: i})
+			go w.injectMember(Fault{Kind: FaultKill, For: f.For, Target: i})
 		}
 	default:
-		w.strikeEndpoint(f)
+		w.injectEndpoint(f)
 	}
 }
 
-// strikeMember strikes a process, unless another fault has it.
-func (w *world) strikeMember(f Fault) {
+// injectMember strikes a process, unless another fault has it.
+func (w *world) injectMember(f Fault) {
 	m := w.fleet.members[f.Target]
 	m.mu.Lock()
 	if m.busy {
@@ -320,37 +320,37 @@
 		m.busy = false
 		m.mu.Unlock()
 	}()
-	switch f.Cause {
-	case CauseTerminate: // planned work, which excuses nothing
+	switch f.Kind {
+	case FaultTerminate: // planned work, which excuses nothing
 		w.fleet.terminate(f.Target)
 		time.Sleep(restartAfter)
 		return
-	case CauseReload:
+	case FaultReload:
 		w.fleet.signal(f.Target, syscall.SIGHUP, false)
 		return
 	}
-	end := w.judge.Disturb(m.site.Name)
+	end := w.checker.Disturb(m.site.Name)
 	defer end()
-	switch f.Cause {
-	case CauseKill:
+	switch f.Kind {
+	case FaultKill:
 		w.fleet.signal(f.Target, syscall.SIGKILL, true)
 		time.Sleep(restartAfter)
-	case CausePause:
+	case FaultPause:
 		w.fleet.signal(f.Target, syscall.SIGSTOP, false)
 		time.Sleep(f.For)
 		w.fleet.signal(f.Target, syscall.SIGCONT, false)
-	case CauseCutStore:
+	case FaultCutStore:
 		w.toStore[f.Target].Set(site.Rule{HoldTo: true, HoldFrom: true})
 		time.Sleep(f.For)
 		w.toStore[f.Target].Set(site.Rule{})
 	}
 }
 
-// strikeStore disturbs the store for all. When faults overlap, the last one
+// injectStore disturbs the store for all. When faults overlap, the last one
 // holds until all have ended.
-func (w *world) strikeStore(f Fault) {
-	mode := map[Cause]site.Mode{CauseStoreDown: site.ModeDown, CauseStoreMute: site.ModeSilent, CauseStoreSlow: site.ModeSlow, CauseStoreLossy: site.ModeLossy}[f.Cause]
-	end := w.judge.Disturb(scopeAll)
+func (w *world) injectStore(f Fault) {
+	mode := map[Kind]site.Mode{FaultStoreDown: site.ModeDown, FaultStoreMute: site.ModeSilent, FaultStoreSlow: site.ModeSlow, FaultStoreLossy: site.ModeLossy}[f.Kind]
+	end := w.checker.Disturb(scopeAll)
 	defer end()
 	w.mu.Lock()
 	w.modes = append(w.modes, mode)
@@ -365,8 +365,8 @@
 	}
 }
 
-// strikeEndpoint strikes an endpoint, unless another fault has it.
-func (w *world) strikeEndpoint(f Fault) {
+// injectEndpoint strikes an endpoint, unless another fault has it.
+func (w *world) injectEndpoint(f Fault) {
 	w.mu.Lock()
 	taken := w.busy[f.Target]
 	w.busy[f.Target] = true
@@ -381,7 +381,7 @@
 	}()
 	e, way := w.endpoints[f.Target], w.ways[f.Target]
 	r, _ := e.Registration()
-	end := w.judge.Disturb(r.Address)
+	end := w.checker.Disturb(r.Address)
 	defer end()
 	hold := func(r site.Rule) {
 		way.Set(r)
@@ -393,30 +393,30 @@
 		time.Sleep(f.For)
 		e.SetTrouble(site.TroubleNone)
 	}
-	switch f.Cause {
-	case CauseCrash, CausePower:
-		w.restart(f.Target, f.Cause == CausePower)
-	case CauseDrain:
+	switch f.Kind {
+	case FaultCrash, FaultPower:
+		w.restart(f.Target, f.Kind == FaultPower)
+	case FaultDrain:
 		e.Drain()
 		time.Sleep(beat + 100*time.Millisecond) // the notice goes out with the next beat
-		w.judge.Left(r.ID)
+		w.checker.Left(r.ID)
 		time.Sleep(boundDrain + drainExtra)
 		w.restart(f.Target, false)
-	case CauseSlow:
+	case FaultSlow:
 		ail(site.TroubleSlow)
-	case CauseCutAnswers:
+	case FaultCutAnswers:
 		ail(site.TroubleCut)
-	case CauseHang:
+	case FaultHang:
 		ail(site.TroubleHang)
-	case CauseDelay:
+	case FaultDelay:
 		hold(site.Rule{Delay: 30 * time.Millisecond})
-	case CauseReset:
+	case FaultReset:
 		way.Reset()
-	case CauseOneWay:
+	case FaultOneWay:
 		hold(site.Rule{HoldTo: true})
-	case CauseOtherWay:
+	case FaultOtherWay:
 		hold(site.Rule{HoldFrom: true})
-	case CauseRefuse:
+	case FaultRefuse:
 		hold(site.Rule{Refuse: true})
 	}
 }
@@ -426,7 +426,7 @@
 	w.ways[i].Reset()
 	time.Sleep(restartLate)
 	if err := w.endpoints[i].Start(); err != nil {
-		w.judge.breach(PromiseRecovery, "the stand-in of endpoint %d did not start again: %v", i, err)
+		w.checker.violation(PromiseRecovery, "the stand-in of endpoint %d did not start again: %v", i, err)
 	}
 }
 
@@ -443,7 +443,7 @@
 		c.Customers = append([]fulmardeal.Customer{}, c.Customers...)
 		if keys := c.Customers[1].Keys; len(keys) > 1 {
 			c.Customers[1].Keys = keys[1:]
-			w.judge.Taken(keys[0])
+			w.checker.Taken(keys[0])
 		}
 	} else {
 		c.Routes = append([]fulmardeal.Route{}, c.Routes...)
@@ -453,7 +453,7 @@
 			to = servicePlain
 		}
 		r.Shares = []fulmardeal.Share{{Service: to, Weight: 1}}
-		w.judge.Moved(r.Name, to, c.Version)
+		w.checker.Moved(r.Name, to, c.Version)
 	}
 	w.write(platform.ConfigRecord(c))
 }
@@ -464,7 +464,7 @@
 	defer w.mu.Unlock()
 	w.weights++
 	w.write(platform.NamingRecord(fulmardeal.Naming{Model: modelName, Version: w.weights}))
-	w.judge.Named(w.weights)
+	w.checker.Named(w.weights)
 }
 
 // evacuate takes a data centre out for a while. It is back when the last fault
@@ -475,7 +475,7 @@
 	w.out[place]++
 	w.write(platform.EvacuationRecord(place, false), nil)
 	w.mu.Unlock()
-	back := w.judge.Evacuated(place)
+	back := w.checker.Evacuated(place)
 	time.Sleep(f.For + boundEvacuate)
 	back()
 	w.mu.Lock()
--- a/internal/traffic/sharing/mesh.go
+++ b/internal/traffic/sharing/mesh.go
@@ -26,7 +26,7 @@
 	// entry spends on listening to all others to 250 datagrams a second.
 	tellEach = 4 * time.Millisecond
 
-	// farRate bounds what all entries of a region together tell those of another,
+	// farRate bounds what all entries of a region together tell those of others,
 	// in bytes a second: 4 per cent of a link of 21 Mbit/s between regions, over
 	// which the store, weights and requests go too.
 	farRate = 100e3
