fleet/feed, traffic/sharing: relays are asked in turn, and are not stale while sound

A test with nine entries of one data centre found that all nine read the store after each change: what a long poll brings is as old as its start, so that a sound relay's last word was up to 3 s old, and 2.2 s counted as stale. The bound is now 3.4 s, two waits and a margin.

So that a relay that is cut off and doesn't know it yet holds nobody up, callers ask the relays in turn, each for 0.6 s at most, and take nothing older than they have. An entry that has been silent for 2 s isn't counted on any more.

TestRelays: nine entries, a configuration in force everywhere within 2 s, four read the store; the four are stopped, and the next configuration is in force within 2 s. TestRelayBehind and TestSilentReader for the parts.

--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -16,16 +16,17 @@
 
 // Times and bounds of relays.
 const (
-	// relayStale is the silence of the store after which a relay doesn't answer
-	// any more: its callers may reach the store themselves. A relay hears from
-	// the store every 1.5 s at least.
-	relayStale = 2200 * time.Millisecond
+	// relayStale is the age of the last word from the store after which a relay
+	// doesn't answer any more: its callers may reach the store themselves. What
+	// is known is as old as the call that brought it, so in a sound state it
+	// can be two waits of 1.5 s.
+	relayStale = 3400 * time.Millisecond
 
 	// relayWait is how long a relay waits for a change. The caller counts the
 	// time as silence, of which 1.5 s would mean that the store was away.
 	relayWait = 600 * time.Millisecond
 
-	relayTimeout = 900 * time.Millisecond // of a call besides that wait, as of a call to the store
+	relayTimeout = 400 * time.Millisecond // of a call besides that wait; a relay is in the same data centre
 	wholeTimeout = 3 * time.Second        // of a call for everything: some MB over the link of an instance
 
 	// relayPatience is how long a process that has just started waits for the
@@ -207,6 +208,7 @@
 	mu      sync.Mutex
 	begun   time.Time     // when the first relay was asked
 	served  bool          // a relay has answered before
+	turn    int           // counts the questions: relays are asked in turn
 	relayed bool          // the last answer was a relay's
 	lag     time.Duration // how old that answer was when it was given
 }
@@ -244,8 +246,12 @@
 // when none answers.
 func (f *Relayed) ask(ctx context.Context, q Question, timeout time.Duration) ([]fulmardeal.Change, fulmardeal.Offset, error, bool) {
 	relays := f.Relays()
+	turn := f.next()
 	var all error
-	for _, address := range relays[:min(len(relays), relayTried)] {
+	for i := range min(len(relays), relayTried) {
+		// One that doesn't hear of changes, and doesn't know it yet, holds its
+		// callers up for one question only.
+		address := relays[(turn+i)%len(relays)]
 		changes, next, err := f.read(ctx, address, q, timeout)
 		var trimmed *fulmardeal.TrimmedError
 		if err == nil || errors.As(err, &trimmed) {
@@ -263,6 +269,14 @@
 	return nil, 0, nil, false
 }
 
+// next counts the questions.
+func (f *Relayed) next() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.turn++
+	return f.turn
+}
+
 // waits reports whether the relays may not have read the store yet.
 func (f *Relayed) waits() bool {
 	f.mu.Lock()
--- a/internal/fleet/feed/relay_test.go
+++ b/internal/fleet/feed/relay_test.go
@@ -116,6 +116,33 @@
 	})
 }
 
+// TestRelayBehind asks the relays in turn: one that no longer hears of changes
+// holds nobody up for longer than one question.
+func TestRelayBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, age := &direct{}, time.Duration(0)
+		store.put("a", false)
+		behind, sound := reader(store, &age), reader(store, &age)
+		all := relays{"behind": behind, "sound": sound}
+		f := &Relayed{Name: "list", Store: store, Relays: func() []string { return []string{"behind", "sound"} }, Call: all.call, Log: slog.New(slog.DiscardHandler)}
+		store.put("b", false)
+		sound.Put("list", Batch{Changes: store.log[1:], Next: 2})
+		begun := time.Now()
+		for next := fulmardeal.Offset(1); next < 2; {
+			var err error
+			if _, next, err = f.Since(t.Context(), next, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if took := time.Since(begun); took > relayWait {
+			t.Errorf("the change is known after %v", took)
+		}
+		if _, next, err := f.Since(t.Context(), 2, 0); err != nil || next != 2 {
+			t.Errorf("next %d, %v: an older state was taken over", next, err)
+		}
+	})
+}
+
 // TestRelayedAtStart waits for relays that have just started themselves, and
 // only so long.
 func TestRelayedAtStart(t *testing.T) {
--- /dev/null
+++ b/internal/process/gateway/relay_test.go
@@ -0,0 +1,116 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/process/gateway"
+	"fulmardeal/platform"
+)
+
+// counting is one entry's way to a store that all share.
+type counting struct {
+	*memory
+	reads atomic.Int32 // of what operators wrote
+}
+
+type countedFeed struct {
+	fulmardeal.Feed
+	reads *atomic.Int32
+}
+
+func (f countedFeed) Since(ctx context.Context, from fulmardeal.Offset, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Offset, error) {
+	f.reads.Add(1)
+	return f.Feed.Since(ctx, from, wait)
+}
+
+func (c *counting) Operator() fulmardeal.Feed { return countedFeed{c.memory.Operator(), &c.reads} }
+
+func (c *counting) Announce(_ context.Context, name, address, dataCentre string) error {
+	c.put("entries", fulmardeal.Change{Key: name, Address: address, DataCentre: dataCentre})
+	return nil
+}
+
+// TestRelays runs nine entries of one data centre: all have a new configuration
+// in force within its time, four of them read the store, and when those are
+// gone others do.
+func TestRelays(t *testing.T) {
+	const entries, readers = 9, 4
+	m := &memory{records: make(map[string][]fulmardeal.Change)}
+	c := catalogue(1)
+	m.put("operator", fulmardeal.Change{Key: "config", Catalogue: &c})
+	var all []*counting
+	var worlds []*world
+	var stops []func()
+	for i := range entries {
+		host := newHost()
+		one := &counting{memory: m}
+		site := fulmardeal.Site{
+			Name: fmt.Sprintf("front-%d", i), Host: host, DataCentre: "a", Region: "south", Regions: map[string]string{"a": "south"},
+			Callers: host + ":8005", Readiness: host + ":8002", Ports: [2]int{7700, 7715},
+			Bounds: fulmardeal.Bounds{Drain: 300 * time.Millisecond, Grace: 5 * time.Second, Revoke: 5 * time.Second, RepeatRatio: 0.2, RepeatExtra: 100, RepeatEvery: 10 * time.Second},
+		}
+		g, cleanup, err := gateway.New(gateway.Options{Site: site, Store: one, Codec: platform.Codec{}, Log: slog.New(slog.DiscardHandler), Seed: uint64(i)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = g.Run(ctx) }() // it ends with the test
+		stop := func() { cancel(); cleanup() }
+		t.Cleanup(stop)
+		all, stops = append(all, one), append(stops, stop)
+		worlds = append(worlds, &world{t: t, address: site.Callers})
+	}
+	inForce := func(path string, within time.Duration, which func(i int) bool) {
+		t.Helper()
+		end := time.Now().Add(within)
+		for i, w := range worlds {
+			for which(i) && w.call("GET", path, nil).status != http.StatusServiceUnavailable { // no endpoint is there
+				if time.Now().After(end) {
+					t.Fatalf("entry %d doesn't know %s after %v", i, path, within)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+	}
+	configure := func(version int64, path string) {
+		c := catalogue(version)
+		c.Routes = append(c.Routes, fulmardeal.Route{Name: path, Host: "h", Prefix: path, Kind: fulmardeal.KindIdempotent, Timeout: time.Second, Shares: c.Routes[0].Shares, Attempts: 1})
+		m.put("operator", fulmardeal.Change{Key: "config", Catalogue: &c})
+	}
+	everyone := func(int) bool { return true }
+
+	inForce("/read/", 5*time.Second, everyone)
+	time.Sleep(time.Second) // until those that found no reader at the start have found one
+	for _, one := range all {
+		one.reads.Store(0)
+	}
+	configure(2, "/second/")
+	inForce("/second/", 2*time.Second, everyone)
+	time.Sleep(2 * time.Second)
+	reading := make([]bool, entries)
+	n := 0
+	for i, one := range all {
+		if one.reads.Load() > 0 {
+			reading[i] = true
+			n++
+		}
+	}
+	if n != readers {
+		t.Errorf("%d entries read the store, want %d", n, readers)
+	}
+
+	for i, is := range reading {
+		if is {
+			stops[i]()
+		}
+	}
+	configure(3, "/third/")
+	inForce("/third/", 2*time.Second, func(i int) bool { return !reading[i] })
+}
--- a/internal/traffic/sharing/mesh.go
+++ b/internal/traffic/sharing/mesh.go
@@ -57,6 +57,10 @@
 	// the rest goes on when the ways there fail.
 	nearTellers = 2
 
+	// readerGone is the silence after which an entry is not counted on to read
+	// the store for others: it tells its loads several times a second.
+	readerGone = 2 * time.Second
+
 	peerGone = 10 * time.Second // after such a silence an entry is told nothing until it is listed again
 )
 
@@ -240,10 +244,11 @@
 // Readers returns the entries of this data centre that are to read the store
 // for all of it, in the same order for all, and whether this entry is one.
 func (m *Mesh) Readers(most int) (addresses []string, own bool) {
+	now := time.Now()
 	names := []string{m.options.Listen}
 	m.mu.Lock()
 	for key, p := range m.peers {
-		if p.place == m.options.Place {
+		if p.place == m.options.Place && now.Sub(p.heard) <= readerGone {
 			names = append(names, key)
 		}
 	}
--- a/internal/traffic/sharing/sharing_test.go
+++ b/internal/traffic/sharing/sharing_test.go
@@ -6,7 +6,9 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -292,6 +294,29 @@
 	}
 }
 
+// An entry that has fallen silent is not counted on to read the store.
+func TestSilentReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &Mesh{options: Options{Place: "a", Listen: listen(0), Log: slog.New(slog.DiscardHandler)}, peers: make(map[string]*member)}
+		hear := func(i int) {
+			a, err := net.ResolveUDPAddr("udp4", listen(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			m.meet(time.Now(), a, "a")
+		}
+		for i := 1; i < 4; i++ {
+			hear(i)
+		}
+		time.Sleep(readerGone + time.Second)
+		hear(1)
+		hear(2)
+		if got, _ := m.Readers(4); len(got) != 3 || slices.Contains(got, listen(3)) {
+			t.Errorf("readers %v, want those that were heard and this one", got)
+		}
+	})
+}
+
 func listen(i int) string { return fmt.Sprintf("10.1.0.%d:7700", i+1) }
 
 // Two entries find each other though only one is listed, and an agent hears
