proof/soak, process: runs and tests keep to loopback networks of their own

Soak runs and those tests took their networks by process id from overlapping ranges. A run of the soak now takes the first network in which no other run has its store, of 127.1 to 127.250; tests of the gateway and the loader use 127.251 and 127.252.

--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -133,10 +133,10 @@
 var hosts atomic.Int32
 
 // newHost returns a loopback address of this test's own, on which no port is
-// taken.
+// taken. Runs of the soak keep to other networks.
 func newHost() string {
 	n := int(hosts.Add(1))
-	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, n/200, 1+n%200)
+	return fmt.Sprintf("127.251.%d.%d", (os.Getpid()+n/200)%250, 1+n%200)
 }
 
 func start(t *testing.T, build func(w *world)) *world {
--- a/internal/process/loader/loader_test.go
+++ b/internal/process/loader/loader_test.go
@@ -186,9 +186,10 @@
 var hosts atomic.Int32
 
 // newHost returns a loopback address of a test's own, on which no port is taken.
+// Runs of the soak keep to other networks.
 func newHost() string {
 	n := int(hosts.Add(1))
-	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, 200+n/200, 1+n%200)
+	return fmt.Sprintf("127.252.%d.%d", (os.Getpid()+n/200)%250, 1+n%200)
 }
 
 // agentAt is an agent at a loopback address.
--- a/internal/proof/soak/world.go
+++ b/internal/proof/soak/world.go
@@ -7,7 +7,6 @@
 	"os"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,6 +43,7 @@
 	portBehind    = 8101 // where it listens
 	portStore     = 9000
 	portOrigin    = 9001
+	networks      = 250 // 127.1 to 127.250, one for each run
 	hostsOfSystem = 200 // hosts in the last part of a loopback address
 )
 
@@ -85,22 +85,19 @@
 
 func dataCentre(i int) string { return string(rune('a' + i)) }
 
-// worlds counts the runs of this process.
-var worlds atomic.Int32
-
 // newWorld starts the stand-ins. Each run uses loopback addresses of its own.
 func newWorld(shape Shape, starter Starter, dir string) (*world, error) {
-	w := &world{shape: shape, prefix: fmt.Sprintf("127.%d", 1+(os.Getpid()+37*int(worlds.Add(1)))%250), store: site.NewStore(), origin: site.NewOrigin(chunks, chunkSize), weights: 1,
+	w := &world{shape: shape, store: site.NewStore(), origin: site.NewOrigin(chunks, chunkSize), weights: 1,
 		regions: make(map[string]string), busy: make(map[int]bool), out: make(map[string]int)}
 	for i := range shape.DataCentres {
 		w.regions[dataCentre(i)] = "region-" + dataCentre(i)
 	}
 	w.checker = NewChecker(w.regions)
 	w.fleet = &fleet{world: w, starter: starter, entries: shape.Entries, dir: dir, closing: make(chan struct{})}
-	w.configure()
-	if err := w.serve(w.address(0, portStore), w.store.Handler()); err != nil {
+	if err := w.claimNetwork(); err != nil {
 		return w, err
 	}
+	w.configure()
 	if err := w.serve(w.address(0, portOrigin), w.origin.Handler()); err != nil {
 		return w, err
 	}
@@ -112,6 +109,19 @@
 	return w, nil
 }
 
+// claimNetwork takes the first loopback network in which no other run has its
+// store, beginning at a place of this process's own.
+func (w *world) claimNetwork() error {
+	var err error
+	for i := range networks {
+		w.prefix = fmt.Sprintf("127.%d", 1+(os.Getpid()+i)%networks)
+		if err = w.serve(w.address(0, portStore), w.store.Handler()); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 // serve starts a server of this process.
 func (w *world) serve(address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
