--- a/internal/proof/soak/world.go
+++ b/internal/proof/soak/world.go
@@ -7,7 +7,6 @@
 	"os"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"fulmardeal"
@@ -30,7 +29,7 @@
 	slots       = 4
 	plainWork   = 15 * time.Millisecond
 	eventWork   = 20 * time.Millisecond
-	beat        = 600 * time.Millisecond
+	beat        = 600 * time.Millisecond // half of what the platform's pages show, so that runs are short
 	lapseAfter  = 3 * beat
 	drainExtra  = 500 * time.Millisecond // endpoints serve a little longer than they must
 	restartLate = 700 * time.Millisecond // until an endpoint that has ended starts again
@@ -245,14 +244,6 @@
 	}
 }
 
-// write puts a record of the operator into the store.
-func (w *world) write(r platform.Record, err error) {
-	if err != nil {
-		panic(err) // records of this package can be encoded
-	}
-	w.store.Append(string(platform.TopicOperator), []platform.Record{r})
-}
-
 // registerEndpoints registers the endpoints, as they do themselves, and removes those that
 // have been silent.
 func (w *world) registerEndpoints(done <-chan struct{}) {
@@ -292,205 +283,3 @@
 func (w *world) register(r platform.Record) {
 	w.store.Append(string(platform.TopicRegistrations), []platform.Record{r})
 }
-
-// inject makes a fault happen, and returns when it has ended.
-func (w *world) inject(f Fault) {
-	switch f.Kind {
-	case FaultKill, FaultTerminate, FaultPause, FaultReload, FaultCutStore:
-		w.injectMember(f)
-	case FaultStoreDown, FaultStoreMute, FaultStoreSlow, FaultStoreLossy:
-		w.injectStore(f)
-	case FaultConfig:
-		w.change(f.Target)
-	case FaultName:
-		w.name()
-	case FaultEvacuate:
-		w.evacuate(f)
-	case FaultAll:
-		for i := range w.fleet.members {
-			go w.injectMember(Fault{Kind: FaultKill, For: f.For, Target: i})
-		}
-	default:
-		w.injectEndpoint(f)
-	}
-}
-
-// injectMember strikes a process, unless another fault has it.
-func (w *world) injectMember(f Fault) {
-	m := w.fleet.members[f.Target]
-	m.mu.Lock()
-	if m.busy {
-		m.mu.Unlock()
-		return
-	}
-	m.busy = true
-	m.mu.Unlock()
-	defer func() {
-		m.mu.Lock()
-		m.busy = false
-		m.mu.Unlock()
-	}()
-	switch f.Kind {
-	case FaultTerminate: // planned work, which excuses nothing
-		w.fleet.terminate(f.Target)
-		time.Sleep(restartAfter)
-		return
-	case FaultReload:
-		w.fleet.signal(f.Target, syscall.SIGHUP, false)
-		return
-	}
-	end := w.checker.Disturb(m.site.Name)
-	defer end()
-	switch f.Kind {
-	case FaultKill:
-		w.fleet.signal(f.Target, syscall.SIGKILL, true)
-		time.Sleep(restartAfter)
-	case FaultPause:
-		w.fleet.signal(f.Target, syscall.SIGSTOP, false)
-		time.Sleep(f.For)
-		w.fleet.signal(f.Target, syscall.SIGCONT, false)
-	case FaultCutStore:
-		w.toStore[f.Target].Set(site.Rule{HoldTo: true, HoldFrom: true})
-		time.Sleep(f.For)
-		w.toStore[f.Target].Set(site.Rule{})
-	}
-}
-
-// injectStore disturbs the store for all. When faults overlap, the last one
-// holds until all have ended.
-func (w *world) injectStore(f Fault) {
-	mode := map[Kind]site.Mode{FaultStoreDown: site.ModeDown, FaultStoreMute: site.ModeSilent, FaultStoreSlow: site.ModeSlow, FaultStoreLossy: site.ModeLossy}[f.Kind]
-	end := w.checker.Disturb(scopeAll)
-	defer end()
-	w.mu.Lock()
-	w.modes = append(w.modes, mode)
-	w.store.SetMode(mode)
-	w.mu.Unlock()
-	time.Sleep(f.For)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.modes = w.modes[1:]
-	if len(w.modes) == 0 {
-		w.store.SetMode(site.ModeSound)
-	}
-}
-
-// injectEndpoint strikes an endpoint, unless another fault has it.
-func (w *world) injectEndpoint(f Fault) {
-	w.mu.Lock()
-	taken := w.busy[f.Target]
-	w.busy[f.Target] = true
-	w.mu.Unlock()
-	if taken {
-		return
-	}
-	defer func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.busy[f.Target] = false
-	}()
-	e, way := w.endpoints[f.Target], w.ways[f.Target]
-	r, _ := e.Registration()
-	end := w.checker.Disturb(r.Address)
-	defer end()
-	hold := func(r site.Rule) {
-		way.Set(r)
-		time.Sleep(f.For)
-		way.Set(site.Rule{})
-	}
-	ail := func(t site.Trouble) {
-		e.SetTrouble(t)
-		time.Sleep(f.For)
-		e.SetTrouble(site.TroubleNone)
-	}
-	switch f.Kind {
-	case FaultCrash, FaultPower:
-		w.restart(f.Target, f.Kind == FaultPower)
-	case FaultDrain:
-		e.Drain()
-		time.Sleep(beat + 100*time.Millisecond) // the notice goes out with the next beat
-		w.checker.Left(r.ID)
-		time.Sleep(boundDrain + drainExtra)
-		w.restart(f.Target, false)
-	case FaultSlow:
-		ail(site.TroubleSlow)
-	case FaultCutAnswers:
-		ail(site.TroubleCut)
-	case FaultHang:
-		ail(site.TroubleHang)
-	case FaultDelay:
-		hold(site.Rule{Delay: 30 * time.Millisecond})
-	case FaultReset:
-		way.Reset()
-	case FaultOneWay:
-		hold(site.Rule{HoldTo: true})
-	case FaultOtherWay:
-		hold(site.Rule{HoldFrom: true})
-	case FaultRefuse:
-		hold(site.Rule{Refuse: true})
-	}
-}
-
-func (w *world) restart(i int, power bool) {
-	w.endpoints[i].Crash(power)
-	w.ways[i].Reset()
-	time.Sleep(restartLate)
-	if err := w.endpoints[i].Start(); err != nil {
-		w.checker.violation(PromiseRecovery, "the stand-in of endpoint %d did not start again: %v", i, err)
-	}
-}
-
-// change writes a new configuration: it moves a route, or takes the oldest of a
-// customer's keys while that has others.
-func (w *world) change(what int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	c := &w.current
-	c.Version += 2
-	// What changes is noted before the write: an entry may know it sooner than
-	// the operator.
-	if what == ChangeKey {
-		c.Customers = append([]fulmardeal.Customer{}, c.Customers...)
-		if keys := c.Customers[1].Keys; len(keys) > 1 {
-			c.Customers[1].Keys = keys[1:]
-			w.checker.Taken(keys[0])
-		}
-	} else {
-		c.Routes = append([]fulmardeal.Route{}, c.Routes...)
-		r := &c.Routes[what]
-		to := serviceOther
-		if r.Shares[0].Service == serviceOther {
-			to = servicePlain
-		}
-		r.Shares = []fulmardeal.Share{{Service: to, Weight: 1}}
-		w.checker.Moved(r.Name, to, c.Version)
-	}
-	w.write(platform.ConfigRecord(c))
-}
-
-// name names the next version of the weights.
-func (w *world) name() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.weights++
-	w.write(platform.NamingRecord(fulmardeal.Naming{Model: modelName, Version: w.weights}))
-	w.checker.Named(w.weights)
-}
-
-// evacuate takes a data centre out for a while. It is back when the last fault
-// that keeps it out has ended.
-func (w *world) evacuate(f Fault) {
-	place := dataCentre(f.Target)
-	w.mu.Lock()
-	w.out[place]++
-	w.write(platform.EvacuationRecord(place, false), nil)
-	w.mu.Unlock()
-	back := w.checker.Evacuated(place)
-	time.Sleep(f.For + boundEvacuate)
-	back()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.out[place]--; w.out[place] == 0 {
-		w.write(platform.EvacuationRecord(place, true), nil)
-	}
-}
