--- a/internal/proof/soak/process.go
+++ b/internal/proof/soak/process.go
@@ -189,7 +189,7 @@
 	client := &http.Client{Timeout: readyWait, Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
 		for _, m := range f.members[:f.entries] {
-			a, err := client.Get("http://" + m.site.Readiness + "/api/ready")
+			a, err := client.Get(platform.ReadinessURL(m.site))
 			ready := err == nil && a.StatusCode == http.StatusOK
 			if err == nil {
 				a.Body.Close()
