process/gateway: log lines that tell apart how a request ends without an answer

A stream whose endpoint fell silent, one whose endpoint broke off, and a handler that panicked looked alike in the log, or left no line: net/http prints a panic to its error log, which has level DEBUG here.

Added: how long an endpoint had sent nothing and what was awaited, the share of the request's time that was used, the time since operators' changes took effect, whether the entry was leaving when a caller disconnected, and a line and a counter for panics.

TestHandlerPanicIsLogged fails without the line: the log has nothing about the request.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -159,6 +159,7 @@
 	callerListener    net.Listener
 	readinessListener net.Listener
 	leaving           atomic.Bool
+	configured        atomic.Pointer[time.Time] // when operators' changes last took effect; nil if never
 
 	mu           sync.Mutex
 	retryBudgets map[string]*budget.RetryBudget // keyed by the service's name
@@ -293,11 +294,21 @@
 		g.log.Info("in force", "what", e.Kind, "name", e.Name, "version", e.Version)
 	}
 	if len(events) > 0 {
+		g.configured.Store(&now)
 		g.table.Refresh(now, g.roster.List(), g.catalogue.View())
 		g.mesh.UpdateAgents()
 	}
 }
 
+// sinceConfiguration returns the time since operators' changes last took effect, or
+// -1 s if there were none.
+func (g *Gateway) sinceConfiguration() time.Duration {
+	if at := g.configured.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return -time.Second
+}
+
 // agents returns the hosts and data centres of the agents. There is one agent
 // beside each engine, on the engine's instance.
 func (g *Gateway) agents() []sharing.Agent {
@@ -380,7 +391,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug), // what callers send; panics are logged by logPanic
 	}
 }
 
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -83,6 +84,8 @@
 	done     chan error
 	received sync.Map // number of requests received by endpoints, by attempt id
 	bounds   fulmardeal.Bounds
+	codec    gateway.Codec
+	log      slog.Handler
 }
 
 // endpoint starts an endpoint of a service, registers it and returns its address. The
@@ -146,7 +149,7 @@
 
 func startGateway(t *testing.T, build func(w *testGateway)) *testGateway {
 	t.Helper()
-	w := &testGateway{t: t, store: &memStore{records: make(map[string][]fulmardeal.Change)}, done: make(chan error, 1)}
+	w := &testGateway{t: t, store: &memStore{records: make(map[string][]fulmardeal.Change)}, done: make(chan error, 1), codec: platform.Codec{}, log: slog.DiscardHandler}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -164,7 +167,7 @@
 		CallerAddress: w.address, ReadinessAddress: "127.0.0.1:0", PortRange: [2]int{7700, 7715},
 		Bounds: w.bounds,
 	}
-	g, cleanup, err := gateway.New(gateway.Options{Settings: settings, Store: w.store, Codec: platform.Codec{}, Log: slog.New(slog.DiscardHandler), Seed: 1})
+	g, cleanup, err := gateway.New(gateway.Options{Settings: settings, Store: w.store, Codec: w.codec, Log: slog.New(w.log), Seed: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -617,6 +620,48 @@
 	}
 }
 
+// panickingCodec panics when a request is about to be forwarded.
+type panickingCodec struct{ platform.Codec }
+
+func (panickingCodec) ForwardHeader(http.Header, fulmardeal.ForwardMetadata) http.Header {
+	panic("broken table")
+}
+
+// A panic in a handler closes the caller's connection without an answer. Without a log
+// line it can't be told from a caller that disconnected.
+func TestHandlerPanicIsLogged(t *testing.T) {
+	var log syncBuffer
+	w := startGateway(t, func(w *testGateway) {
+		w.codec, w.log = panickingCodec{}, slog.NewTextHandler(&log, nil)
+		w.endpoint("i-1", "shop", "a", func(http.ResponseWriter, *http.Request) {})
+	})
+	a := w.call("POST", "/order/", nil)
+	if a.err == nil {
+		t.Errorf("%+v, want a closed connection", a)
+	}
+	if s := log.String(); !strings.Contains(s, `msg="handler panicked" id=`+a.id+` value="broken table"`) {
+		t.Errorf("no line about the panic in:\n%s", s)
+	}
+}
+
+// syncBuffer is a buffer that is safe for concurrent use.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
 // An endpoint that never ends its response is given up: its connection is closed, and
 // the request goes on at another endpoint if it may.
 func TestEndlessResponse(t *testing.T) {
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -5,8 +5,10 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -54,6 +56,7 @@
 	buffered    [][]byte          // bodies of endpoints' responses, which are released at the end
 	lastFailure *endpointResponse // last error response of an endpoint, sent to the caller if no attempt succeeds
 	progress    streamProgress    // progress of a streamed response
+	lastHeard   time.Time         // when the endpoint last sent something that the caller gets, or when the attempt began
 }
 
 // ServeHTTP handles one request of a caller.
@@ -64,6 +67,7 @@
 	}
 	c := &call{gateway: g, received: received, writer: w, metadata: g.codec.ReadRequestMetadata(r.Header)}
 	c.log = g.log.With("id", c.metadata.AttemptID)
+	defer c.logPanic()
 	if !c.admit(r) {
 		return
 	}
@@ -74,6 +78,20 @@
 	c.run(ctx)
 }
 
+// logPanic logs a panic of the handler, which makes net/http close the caller's
+// connection. An abort by giveUp has been logged already.
+func (c *call) logPanic() {
+	switch v := recover(); v {
+	case nil:
+	case http.ErrAbortHandler:
+		panic(v)
+	default:
+		c.gateway.stats.count("panics", c.service)
+		c.log.Error("handler panicked", "value", v, "version", c.version, "stack", string(debug.Stack()))
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // admit determines the route and the customer and reads the body. If the
 // request can't be admitted, it sends the refusal and returns false.
 func (c *call) admit(r *http.Request) bool {
@@ -286,6 +304,7 @@
 	request := c.request
 	request.Header = g.codec.ForwardHeader(c.request.Header, forwarded)
 	sent := time.Now()
+	c.lastHeard = sent
 	x, err := g.pool.Send(ctx, e.Address(), request, c.maxIdleTime(), c.responseDeadline(reservation))
 	if err != nil {
 		return c.handleExchangeError(ctx, reservation, err)
@@ -397,14 +416,14 @@
 	isUnsent := errors.As(err, &unsent)
 	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	if ctx.Err() != nil && !expired {
-		c.log.Info("caller disconnected", "endpoint", e.ID(), "after", time.Since(c.received))
+		c.logDisconnected(e.ID())
 		return finished, dispatch.OutcomeCancelled
 	}
 	if startBy := reservation.StartBy(); !startBy.IsZero() && !time.Now().Before(startBy) && !c.progress.started {
 		c.log.Info("request withdrawn: the endpoint's weights may not be used any longer", "endpoint", e.ID(), "weights", reservation.Weights())
 		return maybeRun, dispatch.OutcomeCancelled
 	}
-	c.log.Warn("endpoint failed", "endpoint", e.ID(), "unsent", isUnsent, "err", err)
+	c.log.Warn("endpoint failed", "endpoint", e.ID(), "unsent", isUnsent, "err", err, "silence", time.Since(c.lastHeard), "point", c.point())
 	c.gateway.pool.CloseIdle(e.Address())
 	if isUnsent {
 		return notRun, dispatch.OutcomeFailed
@@ -415,7 +434,7 @@
 // handleReserveError handles a request for which no endpoint could be reserved.
 func (c *call) handleReserveError(ctx context.Context, err error) {
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		c.log.Info("caller disconnected", "after", time.Since(c.received))
+		c.logDisconnected("")
 		return
 	}
 	var refused *dispatch.RefusedError
@@ -434,7 +453,8 @@
 // giveUp ends the request with the best response that there is. A request that
 // may have run is never reported as not run.
 func (c *call) giveUp(ctx context.Context, reason string) {
-	c.log.Warn("given up", "reason", reason, "runs", c.runs, "sends", c.sends, "begun", c.progress.started, "events", c.progress.events, "version", c.version)
+	c.log.Warn("given up", "reason", reason, "runs", c.runs, "sends", c.sends, "begun", c.progress.started, "events", c.progress.events, "version", c.version,
+		"used", c.timeUsed(), "configured", c.gateway.sinceConfiguration())
 	switch {
 	case c.progress.started:
 		c.gateway.stats.count("broken", c.service)
@@ -451,6 +471,18 @@
 	}
 }
 
+// logDisconnected logs that the caller has closed its connection, or that the entry has
+// closed it while shutting down. endpoint is empty while none has been selected.
+func (c *call) logDisconnected(endpoint string) {
+	c.log.Info("caller disconnected", "endpoint", endpoint, "after", time.Since(c.received), "events", c.progress.events, "leaving", c.gateway.leaving.Load())
+}
+
+// timeUsed returns how much of the request's time has passed, from 0 to 1, with two
+// decimals.
+func (c *call) timeUsed() float64 {
+	return math.Round(100*float64(time.Since(c.received))/float64(c.deadline.Sub(c.received))) / 100
+}
+
 // retryAfterFailure is the Retry-After when endpoints could not be reached. By
 // the time the caller retries, the entry knows that they are gone.
 const retryAfterFailure = 100 * time.Millisecond
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -37,6 +37,15 @@
 	return requested
 }
 
+// point returns the part of a response that is awaited, for the log: its first event
+// or complete body, or a further event.
+func (c *call) point() string {
+	if c.progress.started {
+		return "event"
+	}
+	return "answer"
+}
+
 // readSize is the size of the read buffer of a stream.
 const readSize = 4 << 10 // bytes
 
@@ -58,7 +67,7 @@
 		if len(events) > 0 {
 			reservation.RecordFirstEvent()
 			if !c.writeEvents(reservation, x, r, events) {
-				c.log.Info("caller disconnected", "endpoint", reservation.Endpoint().ID(), "after", time.Since(c.received), "events", c.progress.events)
+				c.logDisconnected(reservation.Endpoint().ID())
 				return finished, dispatch.OutcomeCancelled
 			}
 			pending = append(pending[:0], partial...)
@@ -128,7 +137,7 @@
 	if !c.progress.lastSent.IsZero() {
 		c.progress.longestPause = max(c.progress.longestPause, now.Sub(c.progress.lastSent))
 	}
-	c.progress.lastSent = now
+	c.progress.lastSent, c.lastHeard = now, now
 	if _, err := c.writer.Write(unsent); err != nil {
 		return false
 	}
