process/gateway: a silent endpoint ends no answer; a second attempt runs beside the first

Cause: the entry took a silence (1 s between events, 1.2 s before the first one, 0.4 s for a plain answer) for the end of an attempt. It closed the connection to the endpoint and only then asked whether the request may go elsewhere: attempts, budget of retries, a free slot, an endpoint that accepts and answers. When any of these failed, there was nothing left to go back to. The class: an attempt that can't be taken back is given up on a guess, before its replacement has done its work.

Changed: an attempt is a goroutine that reports what it receives and ends only by its endpoint, by the deadline, or because another attempt answered. Silence only starts a second attempt beside it, if one may run, and marks the endpoint as suspect as before. The caller gets the attempt that answers first; the other is cancelled. Table.TryReserve takes a free slot without joining the queue, so that a request which another endpoint may still answer refuses nobody and is never refused; RetryBudget.Refund returns the retry if there is no slot.

Why it works: at any time before the deadline there is an attempt that may still answer, unless all endpoints have broken off.

--- /dev/null
+++ b/internal/process/gateway/attempt.go
@@ -0,0 +1,208 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/traffic/dispatch"
+	"fulmardeal/internal/traffic/forward"
+)
+
+// attemptResult is the result of an attempt, as far as it matters for a retry.
+type attemptResult int
+
+const (
+	finished attemptResult = iota // the endpoint's response is complete, or the caller has disconnected
+	notRun                        // the endpoint did not run the request
+	maybeRun                      // the endpoint may have run the request
+)
+
+// attempt is one attempt to have a request answered by one endpoint. It runs in a
+// goroutine of its own, sends nothing to the caller, and reports to its call what it
+// receives.
+type attempt struct {
+	call        *call // only fields that don't change while attempts run, and updates
+	reservation *dispatch.Reservation
+	request     forward.Request
+	resumed     bool // the caller already has part of the response
+	cancel      context.CancelFunc
+
+	// The fields below belong to the call.
+	cancelled bool
+	silent    bool // its silence has been recorded
+}
+
+// update is what an attempt has received since its last update.
+type update struct {
+	attempt  *attempt
+	status   int
+	header   http.Header // of the endpoint's response
+	weights  int64       // version of the weights that serve the request
+	events   []byte      // complete events of a stream
+	response *endpointResponse
+	ended    bool // no further update follows
+	result   attemptResult
+	outcome  dispatch.Outcome
+}
+
+// run makes the attempt and reports its end. The slot is free by then.
+func (a *attempt) run(ctx context.Context) {
+	u := a.exchange(ctx)
+	a.reservation.Release(u.outcome)
+	u.attempt, u.ended = a, true
+	a.report(ctx, u)
+}
+
+// report passes an update to the call, unless the attempt has been cancelled.
+func (a *attempt) report(ctx context.Context, u update) {
+	select {
+	case a.call.updates <- u:
+	case <-ctx.Done():
+		if u.response != nil {
+			a.call.gateway.pool.Free(u.response.body)
+		}
+	}
+}
+
+// exchange sends the request to the endpoint and receives the response. It returns the
+// last update.
+func (a *attempt) exchange(ctx context.Context) update {
+	c := a.call
+	g := c.gateway
+	e := a.reservation.Endpoint()
+	sent := time.Now()
+	x, err := g.pool.Send(ctx, e.Address(), a.request, c.maxIdleTime(), a.reservation.StartBy())
+	if err != nil {
+		return a.failure(ctx, err, sent, false)
+	}
+	defer x.Close()
+	r := g.codec.ReadResponseMetadata(x.Status(), x.Header())
+	a.applyNotice(r)
+	if r.AttemptID != "" && r.AttemptID != c.metadata.AttemptID {
+		c.log.Warn("response has the id of another attempt", "endpoint", e.ID(), "got", r.AttemptID, "reused", x.Reused())
+		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
+	}
+	switch {
+	case r.NotRun && x.Status() != http.StatusBadRequest:
+		c.log.Info("endpoint refused the request", "endpoint", e.ID(), "status", x.Status(), "running", r.Running, "waiting", r.Waiting, "weights", a.reservation.Weights())
+		if body, err := x.ReadAll(maxRefusalBytes, time.Now().Add(refusalReadTimeout)); err == nil {
+			g.pool.Free(body)
+			x.Release(r.IdleTimeout)
+		}
+		if x.Status() == http.StatusMisdirectedRequest {
+			return update{result: notRun, outcome: dispatch.OutcomeMismatch}
+		}
+		return update{result: notRun, outcome: dispatch.OutcomeFull}
+	case !r.Signed && !r.NotRun:
+		c.log.Warn("response has no signature", "endpoint", e.ID(), "status", x.Status())
+		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
+	case x.Status()/100 == 2 && c.route.Kind == fulmardeal.KindStream:
+		return a.readStream(ctx, x, r)
+	}
+	return a.readPlain(ctx, x, r, sent)
+}
+
+// readStream reports events as they arrive. It reports only complete events, so that a
+// stream that an endpoint breaks off can be resumed at another one.
+func (a *attempt) readStream(ctx context.Context, x *forward.Exchange, r fulmardeal.ResponseMetadata) update {
+	c := a.call
+	id := a.reservation.Endpoint().ID()
+	var pending []byte
+	buf := make([]byte, readSize)
+	by := a.reservation.StartBy()
+	lastHeard, started := time.Now(), false
+	for {
+		n, err := x.Read(buf, by)
+		pending = append(pending, buf[:n]...)
+		events, partial := splitEvents(pending)
+		if len(events) > 0 {
+			a.reservation.RecordFirstEvent()
+			lastHeard, started, by = time.Now(), true, noDeadline
+			a.report(ctx, update{attempt: a, status: x.Status(), header: x.Header(), weights: r.WeightsVersion, events: events})
+			pending = append([]byte(nil), partial...) // the call may still use the events
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			if len(pending) > 0 || !started && !a.resumed {
+				c.log.Warn("stream ended within an event or before the first", "endpoint", id, "begun", started)
+				return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
+			}
+			x.Release(r.IdleTimeout)
+			return update{result: finished, outcome: dispatch.OutcomeServed, weights: r.WeightsVersion}
+		case err != nil:
+			return a.failure(ctx, err, lastHeard, started)
+		case len(pending) > maxEventBytes:
+			c.log.Warn("stream event exceeds the size limit", "endpoint", id, "bytes", len(pending))
+			return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
+		}
+	}
+}
+
+// readPlain receives a response that is not a stream completely. It returns the server
+// error of an endpoint as a failure if the request may be tried at another one.
+func (a *attempt) readPlain(ctx context.Context, x *forward.Exchange, r fulmardeal.ResponseMetadata, sent time.Time) update {
+	c := a.call
+	body, err := x.ReadAll(maxPlainBytes, noDeadline)
+	if err != nil {
+		return a.failure(ctx, err, sent, false)
+	}
+	a.reservation.RecordFirstEvent()
+	x.Release(r.IdleTimeout)
+	u := update{response: &endpointResponse{status: x.Status(), header: x.Header(), body: body}, outcome: dispatch.OutcomeServed}
+	if x.Status() >= http.StatusInternalServerError {
+		c.log.Info("endpoint returned a server error", "endpoint", a.reservation.Endpoint().ID(), "status", x.Status(), "took", time.Since(sent))
+		u.outcome = dispatch.OutcomeFailed
+		if c.route.Repeatable() {
+			u.result = maybeRun
+		}
+	}
+	return u
+}
+
+// failure returns the update for a failure to send the request to the endpoint or to
+// receive its complete response. lastHeard is when the endpoint last sent something that
+// the caller gets, or when the attempt began; started tells whether it has sent an event.
+func (a *attempt) failure(ctx context.Context, err error, lastHeard time.Time, started bool) update {
+	c := a.call
+	e := a.reservation.Endpoint()
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return update{result: maybeRun, outcome: dispatch.OutcomeCancelled}
+	}
+	if startBy := a.reservation.StartBy(); !startBy.IsZero() && !time.Now().Before(startBy) && !started {
+		c.log.Info("request withdrawn: the endpoint's weights may not be used any longer", "endpoint", e.ID(), "weights", a.reservation.Weights())
+		return update{result: maybeRun, outcome: dispatch.OutcomeCancelled}
+	}
+	var unsent *fulmardeal.UnsentError
+	isUnsent := errors.As(err, &unsent)
+	point := "answer"
+	if started || a.resumed {
+		point = "event"
+	}
+	c.log.Warn("endpoint failed", "endpoint", e.ID(), "unsent", isUnsent, "err", err, "silence", time.Since(lastHeard), "point", point)
+	c.gateway.pool.CloseIdle(e.Address())
+	if isUnsent {
+		return update{result: notRun, outcome: dispatch.OutcomeFailed}
+	}
+	return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
+}
+
+// applyNotice records that an endpoint is leaving or asks for a pause. It applies to
+// every response of the endpoint, also to one that isn't passed on.
+func (a *attempt) applyNotice(r fulmardeal.ResponseMetadata) {
+	if !a.reservation.ApplyNotice(dispatch.Notice{Leaving: r.Leaving, Pause: r.Pause}) {
+		return
+	}
+	e := a.reservation.Endpoint()
+	a.call.log.Info("endpoint wants no requests", "endpoint", e.ID(), "leaving", r.Leaving, "pause", r.Pause)
+	a.call.gateway.pool.CloseIdle(e.Address())
+}
+
+// Limits on reading the body of an endpoint's refusal.
+const (
+	maxRefusalBytes    = 64 << 10              // maximum size of the body of a refusal
+	refusalReadTimeout = 50 * time.Millisecond // until the whole body of a refusal has arrived
+)
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"time"
 
@@ -51,12 +52,15 @@
 
 	queueTime   time.Duration     // total time spent waiting for an endpoint, over all attempts
 	tried       []string          // ids of endpoints not to be tried again
-	sends       int               // number of attempts, including those that an endpoint refused
-	runs        int               // number of attempts that may have run
+	sends       int               // number of attempts begun, including those that an endpoint refused
+	runs        int               // number of ended attempts that may have run
 	buffered    [][]byte          // bodies of endpoints' responses, which are released at the end
 	lastFailure *endpointResponse // last error response of an endpoint, sent to the caller if no attempt succeeds
 	progress    streamProgress    // progress of a streamed response
-	lastHeard   time.Time         // when the endpoint last sent something that the caller gets, or when the attempt began
+
+	attempts     []*attempt  // attempts in progress, in the order in which they began
+	updates      chan update // what the attempts receive
+	silenceTimer *time.Timer // fires when no attempt has received anything for too long
 }
 
 // ServeHTTP handles one request of a caller.
@@ -212,43 +216,149 @@
 	return shares[len(shares)-1].Service
 }
 
-// attemptResult is the result of an attempt, as far as it matters for a retry.
-type attemptResult int
-
-const (
-	finished attemptResult = iota // the caller has its response, or has disconnected
-	notRun                        // the endpoint did not run the request
-	maybeRun                      // the endpoint may have run the request
-)
-
 // run tries endpoints until the caller has a response.
 func (c *call) run(ctx context.Context) {
-	g := c.gateway
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // of the attempts that are still running
+	c.updates = make(chan update)
+	c.silenceTimer = time.NewTimer(c.silenceTimeout())
+	defer c.silenceTimer.Stop()
+	if !c.startNext(ctx) {
+		return
+	}
 	for {
-		start := time.Now()
-		reservation, err := g.table.Reserve(ctx, c.dispatchRequest())
-		c.queueTime += time.Since(start)
-		if err != nil {
-			c.handleReserveError(ctx, err)
-			return
-		}
-		result, outcome := c.attempt(ctx, reservation)
-		reservation.Release(outcome)
-		if result == finished {
+		select {
+		case u := <-c.updates:
+			if !u.attempt.cancelled && c.apply(ctx, u) {
+				return
+			}
+		case <-c.silenceTimer.C:
+			c.onSilence(ctx)
+		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				c.runs += len(c.attempts)
+				c.giveUp(ctx, "time is up")
+				return
+			}
+			c.logDisconnected()
 			return
 		}
-		c.sends++
-		if result == maybeRun {
-			c.runs++
+	}
+}
+
+// startNext waits for a slot and starts an attempt there, while no other attempt is
+// running. If there is no slot, it ends the request and returns false.
+func (c *call) startNext(ctx context.Context) bool {
+	start := time.Now()
+	reservation, err := c.gateway.table.Reserve(ctx, c.dispatchRequest())
+	c.queueTime += time.Since(start)
+	if err != nil {
+		c.handleReserveError(ctx, err)
+		return false
+	}
+	c.start(ctx, reservation)
+	return true
+}
+
+// start starts an attempt.
+func (c *call) start(ctx context.Context, reservation *dispatch.Reservation) {
+	forwarded := fulmardeal.ForwardMetadata{
+		Instance:       reservation.Endpoint().ID(),
+		Deadline:       time.Until(c.deadline),
+		Customer:       c.customer,
+		Priority:       -1,
+		WeightsVersion: c.progress.weights,
+		LastEventID:    c.progress.resumeAfter(c.metadata.LastEventID),
+	}
+	if c.progress.started {
+		forwarded.Priority = 0 // most urgent: its caller is waiting in the middle of a response
+	}
+	request := c.request
+	request.Header = c.gateway.codec.ForwardHeader(c.request.Header, forwarded)
+	ctx, cancel := context.WithCancel(ctx)
+	a := &attempt{call: c, reservation: reservation, request: request, resumed: c.progress.started, cancel: cancel}
+	c.attempts = append(c.attempts, a)
+	c.sends++
+	c.silenceTimer.Reset(c.silenceTimeout())
+	go a.run(ctx)
+}
+
+// apply applies an update and reports whether the request has ended.
+func (c *call) apply(ctx context.Context, u update) bool {
+	if u.response != nil {
+		c.buffered = append(c.buffered, u.response.body)
+	}
+	switch {
+	case !u.ended:
+		c.follow(u.attempt)
+		c.silenceTimer.Reset(c.silenceTimeout())
+		if !c.writeEvents(u) {
+			c.logDisconnected()
+			return true
 		}
-		if outcome != dispatch.OutcomeFull {
-			c.tried = append(c.tried, reservation.Endpoint().ID())
+		return false
+	case u.result == finished:
+		c.follow(u.attempt)
+		c.finish(u)
+		return true
+	}
+	u.attempt.cancel()
+	c.attempts = slices.DeleteFunc(c.attempts, func(a *attempt) bool { return a == u.attempt })
+	if u.result == maybeRun {
+		c.runs++
+	}
+	if u.response != nil {
+		c.lastFailure = u.response
+	}
+	if u.outcome != dispatch.OutcomeFull {
+		c.tried = append(c.tried, u.attempt.reservation.Endpoint().ID())
+	}
+	if len(c.attempts) > 0 {
+		c.silenceTimer.Reset(refusedPause)
+		return false
+	}
+	if reason, ok := c.mayRetry(ctx); !ok {
+		c.giveUp(ctx, reason)
+		return true
+	}
+	if !c.gateway.retryBudget(c.service).Withdraw() {
+		c.giveUp(ctx, "repeats used up")
+		return true
+	}
+	return !c.startNext(ctx)
+}
+
+// follow cancels all attempts but the one whose response the caller gets.
+func (c *call) follow(leader *attempt) {
+	if len(c.attempts) == 1 {
+		return
+	}
+	for _, a := range c.attempts {
+		if a == leader {
+			continue
 		}
-		if reason, ok := c.mayRetry(ctx, result); !ok {
-			c.giveUp(ctx, reason)
-			return
+		a.cancelled = true
+		a.cancel()
+		c.runs++
+		c.tried = append(c.tried, a.reservation.Endpoint().ID())
+	}
+	c.log.Info("attempt answered before another", "endpoint", leader.reservation.Endpoint().ID(), "first", c.attempts[0] == leader, "events", c.progress.events)
+	c.attempts = append(c.attempts[:0], leader)
+}
+
+// finish ends the request with a complete response.
+func (c *call) finish(u update) {
+	reservation := u.attempt.reservation
+	if u.response != nil {
+		c.writeResponse(u.response)
+		if u.outcome == dispatch.OutcomeServed {
+			c.gateway.stats.served(c.service, time.Since(c.received))
 		}
+		return
 	}
+	c.gateway.stats.served(c.service, time.Since(c.received))
+	c.log.Info("served", "endpoint", reservation.Endpoint().ID(), "first", c.progress.firstEvent, "pause", c.progress.longestPause, "events", c.progress.events,
+		"expected", reservation.ExpectedFirstEvent(), "waited", c.queueTime, "prompt", c.metadata.PromptTokens, "sends", c.sends, "weights", u.weights)
 }
 
 func (c *call) dispatchRequest() *dispatch.Request {
@@ -257,101 +367,38 @@
 		HomeRegions:     c.homeRegions,
 		PromptTokens:    c.metadata.PromptTokens,
 		RequiredWeights: c.progress.weights,
-		Tried:           c.tried,
+		Tried:           slices.Clone(c.tried),
 		Deadline:        c.deadline,
 		Fingerprint:     c.fingerprint,
 		Sent:            c.received,
 		Objective:       c.route.Objective,
 	}
+	for _, a := range c.attempts {
+		request.Tried = append(request.Tried, a.reservation.Endpoint().ID())
+	}
 	if c.progress.started {
 		request.Sent, request.Objective, request.Resumed = time.Now(), c.route.Pause, true
 	}
 	return request
 }
 
-// mayRetry reports whether another endpoint may be tried, and the reason if not.
-func (c *call) mayRetry(ctx context.Context, result attemptResult) (string, bool) {
+// mayRetry reports whether another endpoint may be tried, and the reason if not. The
+// attempts in progress count as run.
+func (c *call) mayRetry(ctx context.Context) (string, bool) {
+	runs := c.runs + len(c.attempts)
 	switch {
 	case ctx.Err() != nil:
 		return "time is up", false
-	case result == maybeRun && !c.route.Repeatable():
+	case runs > 0 && !c.route.Repeatable():
 		return "may have run", false
-	case c.runs >= c.route.Attempts:
+	case runs >= c.route.Attempts:
 		return "attempts used up", false
 	case c.sends >= maxEndpointsTried:
 		return "too many endpoints asked", false
-	case !c.gateway.retryBudget(c.service).Withdraw():
-		return "repeats used up", false
 	}
 	return "", true
 }
 
-// attempt sends the request to one endpoint and handles its response.
-func (c *call) attempt(ctx context.Context, reservation *dispatch.Reservation) (attemptResult, dispatch.Outcome) {
-	g := c.gateway
-	e := reservation.Endpoint()
-	forwarded := fulmardeal.ForwardMetadata{
-		Instance:       e.ID(),
-		Deadline:       time.Until(c.deadline),
-		Customer:       c.customer,
-		Priority:       -1,
-		WeightsVersion: c.progress.weights,
-		LastEventID:    c.progress.resumeAfter(c.metadata.LastEventID),
-	}
-	if c.progress.started {
-		forwarded.Priority = 0 // most urgent: its caller is waiting in the middle of a response
-	}
-	request := c.request
-	request.Header = g.codec.ForwardHeader(c.request.Header, forwarded)
-	sent := time.Now()
-	c.lastHeard = sent
-	x, err := g.pool.Send(ctx, e.Address(), request, c.maxIdleTime(), c.responseDeadline(reservation))
-	if err != nil {
-		return c.handleExchangeError(ctx, reservation, err)
-	}
-	defer x.Close()
-	r := g.codec.ReadResponseMetadata(x.Status(), x.Header())
-	c.applyNotice(reservation, r)
-	if r.AttemptID != "" && r.AttemptID != c.metadata.AttemptID {
-		c.log.Warn("response has the id of another attempt", "endpoint", e.ID(), "got", r.AttemptID, "reused", x.Reused())
-		return maybeRun, dispatch.OutcomeFailed
-	}
-	switch {
-	case r.NotRun && x.Status() != http.StatusBadRequest:
-		c.log.Info("endpoint refused the request", "endpoint", e.ID(), "status", x.Status(), "running", r.Running, "waiting", r.Waiting, "weights", reservation.Weights())
-		if body, err := x.ReadAll(maxRefusalBytes, time.Now().Add(refusalReadTimeout)); err == nil {
-			g.pool.Free(body)
-			x.Release(r.IdleTimeout)
-		}
-		if x.Status() == http.StatusMisdirectedRequest {
-			return notRun, dispatch.OutcomeMismatch
-		}
-		return notRun, dispatch.OutcomeFull
-	case !r.Signed && !r.NotRun:
-		c.log.Warn("response has no signature", "endpoint", e.ID(), "status", x.Status())
-		return maybeRun, dispatch.OutcomeFailed
-	case x.Status()/100 == 2 && c.route.Kind == fulmardeal.KindStream:
-		return c.forwardStream(ctx, reservation, x, r)
-	}
-	return c.forwardPlain(ctx, reservation, x, r, sent)
-}
-
-// applyNotice records that an endpoint is leaving or asks for a pause. It applies to
-// every response of the endpoint, also to one that isn't passed on.
-func (c *call) applyNotice(reservation *dispatch.Reservation, r fulmardeal.ResponseMetadata) {
-	if !reservation.ApplyNotice(dispatch.Notice{Leaving: r.Leaving, Pause: r.Pause}) {
-		return
-	}
-	c.log.Info("endpoint wants no requests", "endpoint", reservation.Endpoint().ID(), "leaving", r.Leaving, "pause", r.Pause)
-	c.gateway.pool.CloseIdle(reservation.Endpoint().Address())
-}
-
-// Limits on reading the body of an endpoint's refusal.
-const (
-	maxRefusalBytes    = 64 << 10              // maximum size of the body of a refusal
-	refusalReadTimeout = 50 * time.Millisecond // until the whole body of a refusal has arrived
-)
-
 // maxIdleTime returns the maximum idle time of a pooled connection that may be
 // used for this request. A request that must not be retried needs a recently
 // used connection: the endpoint may have closed an older one, and then it is
@@ -363,78 +410,17 @@
 	return recentUse
 }
 
-// Limits on waiting for an endpoint.
-const (
-	// recentUse is the maximum idle time of a connection on which a request
-	// that must not be retried is sent. It is below all idle timeouts of
-	// endpoints, which are whole seconds.
-	recentUse = 300 * time.Millisecond
-
-	// Minimum timeouts of a request that may be retried. After the timeout,
-	// another endpoint is tried.
-
-	// minPlainTimeout applies to a plain response. It is seven times the
-	// usual duration of a plain call.
-	minPlainTimeout = 400 * time.Millisecond
-
-	// minFirstEventTimeout applies to the first event of a stream. It leaves
-	// another engine half of the time that callers wait for that event.
-	minFirstEventTimeout = 1200 * time.Millisecond
-
-	// minEventTimeout applies to each further event. Callers disconnect
-	// after 2 s, and a decoding pass takes a tenth of that.
-	minEventTimeout = 1000 * time.Millisecond
-)
+// recentUse is the maximum idle time of a connection on which a request that must not be
+// retried is sent. It is below all idle timeouts of endpoints, which are whole seconds.
+const recentUse = 300 * time.Millisecond
 
 // noDeadline is the deadline of a wait that only ends with the request's deadline.
 var noDeadline time.Time
 
-// responseDeadline returns until when to wait, from now on, for the header of the
-// response or for the first event of a stream. It returns noDeadline if the request
-// can't be tried at another endpoint and may start there at any time.
-func (c *call) responseDeadline(reservation *dispatch.Reservation) time.Time {
-	startBy := reservation.StartBy()
-	timeout := max(minPlainTimeout, c.route.Objective)
-	switch {
-	case !c.route.Repeatable() || c.runs+1 >= c.route.Attempts:
-		return startBy
-	case c.route.Kind == fulmardeal.KindStream:
-		timeout = max(minFirstEventTimeout, 2*c.route.Objective)
-	}
-	by := time.Now().Add(timeout)
-	if !startBy.IsZero() && startBy.Before(by) {
-		return startBy
-	}
-	return by
-}
-
-// handleExchangeError handles a failure to send a request to an endpoint or to
-// receive its complete response.
-func (c *call) handleExchangeError(ctx context.Context, reservation *dispatch.Reservation, err error) (attemptResult, dispatch.Outcome) {
-	e := reservation.Endpoint()
-	var unsent *fulmardeal.UnsentError
-	isUnsent := errors.As(err, &unsent)
-	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
-	if ctx.Err() != nil && !expired {
-		c.logDisconnected(e.ID())
-		return finished, dispatch.OutcomeCancelled
-	}
-	if startBy := reservation.StartBy(); !startBy.IsZero() && !time.Now().Before(startBy) && !c.progress.started {
-		c.log.Info("request withdrawn: the endpoint's weights may not be used any longer", "endpoint", e.ID(), "weights", reservation.Weights())
-		return maybeRun, dispatch.OutcomeCancelled
-	}
-	c.log.Warn("endpoint failed", "endpoint", e.ID(), "unsent", isUnsent, "err", err, "silence", time.Since(c.lastHeard), "point", c.point())
-	c.gateway.pool.CloseIdle(e.Address())
-	if isUnsent {
-		return notRun, dispatch.OutcomeFailed
-	}
-	return maybeRun, dispatch.OutcomeFailed
-}
-
 // handleReserveError handles a request for which no endpoint could be reserved.
 func (c *call) handleReserveError(ctx context.Context, err error) {
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		c.logDisconnected("")
+		c.logDisconnected()
 		return
 	}
 	var refused *dispatch.RefusedError
@@ -472,8 +458,12 @@
 }
 
 // logDisconnected logs that the caller has closed its connection, or that the entry has
-// closed it while shutting down. endpoint is empty while none has been selected.
-func (c *call) logDisconnected(endpoint string) {
+// closed it while shutting down. The endpoint is empty while none has been selected.
+func (c *call) logDisconnected() {
+	endpoint := ""
+	if len(c.attempts) > 0 {
+		endpoint = c.attempts[0].reservation.Endpoint().ID()
+	}
 	c.log.Info("caller disconnected", "endpoint", endpoint, "after", time.Since(c.received), "events", c.progress.events, "leaving", c.gateway.leaving.Load())
 }
 
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -2,19 +2,12 @@
 
 import (
 	"bytes"
-	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"fulmardeal"
-	"fulmardeal/internal/traffic/dispatch"
-	"fulmardeal/internal/traffic/forward"
 )
 
 // streamProgress is the progress of a streamed response to the caller.
@@ -37,15 +30,6 @@
 	return requested
 }
 
-// point returns the part of a response that is awaited, for the log: its first event
-// or complete body, or a further event.
-func (c *call) point() string {
-	if c.progress.started {
-		return "event"
-	}
-	return "answer"
-}
-
 // readSize is the size of the read buffer of a stream.
 const readSize = 4 << 10 // bytes
 
@@ -53,71 +37,22 @@
 // as much, and the smallest entries serve some hundred streams.
 const maxEventBytes = 128 << 10 // bytes
 
-// forwardStream forwards events as they arrive. Only complete events are sent,
-// so that a stream that an endpoint breaks off can be resumed at another one.
-func (c *call) forwardStream(ctx context.Context, reservation *dispatch.Reservation, x *forward.Exchange, r fulmardeal.ResponseMetadata) (attemptResult, dispatch.Outcome) {
-	g := c.gateway
-	var pending []byte
-	buf := make([]byte, readSize)
-	by := c.responseDeadline(reservation)
-	for {
-		n, err := x.Read(buf, by)
-		pending = append(pending, buf[:n]...)
-		events, partial := splitEvents(pending)
-		if len(events) > 0 {
-			reservation.RecordFirstEvent()
-			if !c.writeEvents(reservation, x, r, events) {
-				c.logDisconnected(reservation.Endpoint().ID())
-				return finished, dispatch.OutcomeCancelled
-			}
-			pending = append(pending[:0], partial...)
-			by = c.eventDeadline()
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			if len(pending) > 0 || !c.progress.started {
-				c.log.Warn("stream ended within an event or before the first", "endpoint", reservation.Endpoint().ID(), "events", c.progress.events)
-				return maybeRun, dispatch.OutcomeFailed
-			}
-			x.Release(r.IdleTimeout)
-			g.stats.served(c.service, time.Since(c.received))
-			c.log.Info("served", "endpoint", reservation.Endpoint().ID(), "first", c.progress.firstEvent, "pause", c.progress.longestPause, "events", c.progress.events,
-				"expected", reservation.ExpectedFirstEvent(), "waited", c.queueTime, "prompt", c.metadata.PromptTokens, "sends", c.sends+1, "weights", r.WeightsVersion)
-			return finished, dispatch.OutcomeServed
-		case err != nil:
-			return c.handleExchangeError(ctx, reservation, err)
-		case len(pending) > maxEventBytes:
-			c.log.Warn("stream event exceeds the size limit", "endpoint", reservation.Endpoint().ID(), "bytes", len(pending))
-			return maybeRun, dispatch.OutcomeFailed
-		}
-	}
-}
-
-// eventDeadline returns the time by which the next event of a stream must be
-// complete, or noDeadline if the stream can't be resumed at another endpoint. An
-// endpoint that only sends parts of an event doesn't extend it.
-func (c *call) eventDeadline() time.Time {
-	if !c.route.Repeatable() || c.runs+1 >= c.route.Attempts {
-		return noDeadline
-	}
-	return time.Now().Add(max(minEventTimeout, 2*c.route.Pause))
-}
-
 // writeEvents writes complete events to the caller, preceded by the header if it
 // hasn't been sent yet, and reports whether the caller is still connected. It
 // skips events that the caller already has.
-func (c *call) writeEvents(reservation *dispatch.Reservation, x *forward.Exchange, r fulmardeal.ResponseMetadata, events []byte) bool {
+func (c *call) writeEvents(u update) bool {
 	if !c.progress.started {
 		h := c.writer.Header()
-		for name, values := range c.gateway.codec.ResponseHeader(x.Header()) {
+		for name, values := range c.gateway.codec.ResponseHeader(u.header) {
 			h[name] = values
 		}
 		suppressDefaultHeaders(h)
-		c.progress.started, c.progress.weights = true, r.WeightsVersion
+		c.progress.started, c.progress.weights = true, u.weights
 		c.progress.firstEvent = time.Since(c.received)
-		c.gateway.stats.firstEvent(c.service, c.progress.firstEvent, c.progress.firstEvent-c.queueTime-reservation.ExpectedFirstEvent())
-		c.writer.WriteHeader(x.Status())
+		c.gateway.stats.firstEvent(c.service, c.progress.firstEvent, c.progress.firstEvent-c.queueTime-u.attempt.reservation.ExpectedFirstEvent())
+		c.writer.WriteHeader(u.status)
 	}
+	events := u.events
 	unsent := events[:0:0]
 	for len(events) > 0 {
 		n := eventEnd(events)
@@ -137,7 +72,7 @@
 	if !c.progress.lastSent.IsZero() {
 		c.progress.longestPause = max(c.progress.longestPause, now.Sub(c.progress.lastSent))
 	}
-	c.progress.lastSent, c.lastHeard = now, now
+	c.progress.lastSent = now
 	if _, err := c.writer.Write(unsent); err != nil {
 		return false
 	}
--- a/internal/traffic/budget/retry.go
+++ b/internal/traffic/budget/retry.go
@@ -34,3 +34,10 @@
 	b.available--
 	return true
 }
+
+// Refund returns a retry that was withdrawn and not made.
+func (b *RetryBudget) Refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.available = min(b.available+1, b.burst)
+}
--- a/internal/traffic/dispatch/reservation.go
+++ b/internal/traffic/dispatch/reservation.go
@@ -57,6 +57,16 @@
 	r.markStarted()
 }
 
+// RecordSilence records that the endpoint has sent nothing for longer than expected. The
+// endpoint becomes suspect as after a failure, but keeps the slot, because it may go on.
+func (r *Reservation) RecordSilence() {
+	r.table.mu.Lock()
+	defer r.table.mu.Unlock()
+	if !r.released {
+		r.endpoint.recordOutcome(time.Now(), OutcomeFailed)
+	}
+}
+
 // markStarted stops counting the request's prompt as pending, because the
 // response has started or the request has ended.
 func (r *Reservation) markStarted() {
--- a/internal/traffic/dispatch/table.go
+++ b/internal/traffic/dispatch/table.go
@@ -220,10 +220,32 @@
 	return nil, t.refusal(req, reason, time.Since(now))
 }
 
+// TryReserve reserves a slot for a request at an endpoint that can start it at once. It
+// returns false if there is none, without queueing or refusing the request: it is meant
+// for a request that another endpoint may still answer.
+func (t *Table) TryReserve(req *Request) (*Reservation, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, _, _ := t.reserve(time.Now(), req)
+	return r, r != nil
+}
+
 // reserveOrQueue reserves a slot at once, queues the request, or refuses it. It
 // returns the reservation, the waiter or the reason for the refusal; the other two
 // results are zero. The caller must hold t.mu.
 func (t *Table) reserveOrQueue(now time.Time, req *Request) (*Reservation, *waiter, RefusalReason) {
+	r, w, reason := t.reserve(now, req)
+	if w != nil {
+		g := t.services[req.Service]
+		g.queue.waiters = append(g.queue.waiters, w)
+		t.refuseExcess(now, g)
+	}
+	return r, w, reason
+}
+
+// reserve reserves a slot at once. Otherwise it returns the waiter with which the
+// request may be queued, or the reason for its refusal. The caller must hold t.mu.
+func (t *Table) reserve(now time.Time, req *Request) (*Reservation, *waiter, RefusalReason) {
 	g := t.services[req.Service]
 	if g == nil {
 		return nil, nil, RefusedNoEndpoint
@@ -251,8 +273,6 @@
 	if resume, paused := earliestResume(f, g.endpoints, req); paused && resume.After(w.waitUntil) {
 		return nil, nil, RefusedPaused
 	}
-	g.queue.waiters = append(g.queue.waiters, w)
-	t.refuseExcess(now, g)
 	return nil, w, ""
 }
 
