process/gateway: a panic in an attempt ends that attempt, not the process

An attempt runs in a goroutine of its own since a silence no longer ends one. net/http recovers panics of its handlers only, so a panic while a response was read would have ended the entry, and with it the requests of all its callers.

Evidence: TestAttemptPanicEndsOneRequest, with a codec that panics on one response, ended the test binary ("panic: broken header") before.

Changed: the panic is recovered where the attempt runs, counted and logged as `attempt panicked`. The attempt fails as one that may have run: its slot is freed, its connection closed, and a request that may be repeated goes elsewhere. Others get 502.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"fulmardeal"
@@ -51,12 +52,26 @@
 
 // run makes the attempt and reports its end. The slot is free by then.
 func (a *attempt) run(ctx context.Context) {
-	u := a.exchange(ctx)
+	u := a.tryExchange(ctx)
 	a.reservation.Release(u.outcome)
 	u.attempt, u.ended = a, true
 	a.report(ctx, u)
 }
 
+// tryExchange is exchange, except that a panic fails the attempt. No other goroutine
+// would recover it, and it would end the process with the requests of all callers.
+func (a *attempt) tryExchange(ctx context.Context) (u update) {
+	defer func() {
+		if v := recover(); v != nil {
+			c := a.call
+			c.gateway.stats.count("panics", c.service)
+			c.log.Error("attempt panicked", "endpoint", a.reservation.Endpoint().ID(), "value", v, "version", c.version, "stack", string(debug.Stack()))
+			u = update{result: maybeRun, outcome: dispatch.OutcomeFailed}
+		}
+	}()
+	return a.exchange(ctx)
+}
+
 // report passes an update to the call, unless the attempt has been cancelled.
 func (a *attempt) report(ctx context.Context, u update) {
 	select {
--- /dev/null
+++ b/internal/process/gateway/attempt_test.go
@@ -0,0 +1,46 @@
+package gateway_test
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+
+	"fulmardeal"
+	"fulmardeal/platform"
+)
+
+// panickingResponseCodec panics when a response that asks for it arrives.
+type panickingResponseCodec struct{ platform.Codec }
+
+func (p panickingResponseCodec) ReadResponseMetadata(status int, h http.Header) fulmardeal.ResponseMetadata {
+	if h.Get("X-Panic") != "" {
+		panic("broken header")
+	}
+	return p.Codec.ReadResponseMetadata(status, h)
+}
+
+// A panic in an attempt must not end the process, which would break all callers'
+// connections, nor keep its slot.
+func TestAttemptPanicEndsOneRequest(t *testing.T) {
+	var log syncBuffer
+	w := startGateway(t, func(w *testGateway) {
+		w.codec, w.log = panickingResponseCodec{}, slog.NewTextHandler(&log, nil)
+		w.endpoint("i-1", "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			if r.RequestURI == "/order/panic" {
+				rw.Header().Set("X-Panic", "1")
+			}
+			_, _ = io.WriteString(rw, "ok")
+		})
+	})
+	for range 5 { // more than the endpoint has slots
+		if a := w.call("POST", "/order/panic", nil); a.status != http.StatusBadGateway || !strings.Contains(log.String(), `msg="attempt panicked" id=`+a.id+` endpoint=i-1 value="broken header"`) {
+			t.Errorf("%+v, want 502 and a line about the panic", a)
+		}
+	}
+	if a := w.call("POST", "/order/", nil); a.status != http.StatusOK || a.body != "ok" {
+		t.Errorf("%+v", a)
+	}
+}
