process/gateway: an endpoint's error is not joined to a stream that it did not resume

Callers whose stream was resumed at an endpoint that answered with a 3xx or 4xx got the body of that answer behind their events, in a response that ended as complete.

Cause: an answer that is no success of a stream was passed on as a plain one, although the header and events of the first endpoint had been sent. This is older than second attempts, but a second attempt now does it to a stream whose first endpoint would have gone on.

Changed: for a resumed attempt any other answer than a stream is a failure of the attempt. The first one goes on if it can; otherwise the connection is broken off, so that the caller sees that the stream is incomplete.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -117,6 +117,9 @@
 		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 	case x.Status()/100 == 2 && c.route.Kind == fulmardeal.KindStream:
 		return a.readStream(ctx, x, r)
+	case a.resumed: // the caller has got a part of a stream: nothing but its rest may follow
+		c.log.Warn("endpoint did not resume the stream", "endpoint", e.ID(), "status", x.Status())
+		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 	}
 	return a.readPlain(ctx, x, r, sent)
 }
--- a/internal/process/gateway/attempt_test.go
+++ b/internal/process/gateway/attempt_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -44,3 +45,27 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// An endpoint's answer that is not a stream must not be joined to the events that the
+// caller already has, as if it were the rest of them.
+func TestErrorIsNotPartOfStream(t *testing.T) {
+	for _, status := range []int{http.StatusFound, http.StatusBadRequest, http.StatusNotFound, http.StatusConflict} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			t.Parallel()
+			w := startGateway(t, func(w *testGateway) {
+				for _, id := range []string{"i-1", "i-2"} {
+					w.endpoint(id, "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
+						if r.Header.Get("Last-Event-Id") == "" {
+							events(rw, 1, 4, 9)
+						}
+						rw.WriteHeader(status)
+						_, _ = io.WriteString(rw, "no such stream")
+					})
+				}
+			})
+			if a := w.call("POST", "/stream/", nil); a.err == nil || strings.Contains(a.body, "no such stream") {
+				t.Errorf("%d runs, %v: %q", w.runs(a.id), a.err, a.body)
+			}
+		})
+	}
+}
--- a/internal/process/gateway/silence_test.go
+++ b/internal/process/gateway/silence_test.go
@@ -77,6 +77,9 @@
 		hangUp(rw, r)
 	case "silent":
 		s.answer(rw, r)
+	case "rejects":
+		rw.WriteHeader(http.StatusNotFound)
+		_, _ = io.WriteString(rw, "no such stream")
 	default:
 		silence{path: s.path}.answer(rw, r)
 	}
