process/gateway: a slow caller's time is not its endpoint's silence

When a caller took no bytes for a second, its endpoint was recorded as silent, which makes it suspect for all other requests, and a second attempt could start, though events of the first one were waiting to be written.

Cause: the silence timer was set before the events were written. It fired while the write was blocked. For the same reason the silence after the first events had the timeout of the first event, 1.2 s in place of 1 s.

Evidence: TestSlowCallerIsNoSilence fails 3 of 3 times before ("endpoint silent"; an earlier form of it also saw a second run), passes 3 of 3 times after, with -race.

Changed: the timer is set after the write, as the read deadline was before attempts ran beside each other.

--- a/internal/process/gateway/attempt_test.go
+++ b/internal/process/gateway/attempt_test.go
@@ -1,12 +1,15 @@
 package gateway_test
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"fulmardeal"
 	"fulmardeal/platform"
@@ -69,3 +72,49 @@
 		})
 	}
 }
+
+// The time in which a caller takes no bytes is not its endpoint's silence.
+func TestSlowCallerIsNoSilence(t *testing.T) {
+	const n, size = 1500, 8 << 10 // more bytes than the connections buffer
+	var log syncBuffer
+	w := startGateway(t, func(w *testGateway) {
+		w.log = slog.NewTextHandler(&log, nil)
+		for _, id := range []string{"i-1", "i-2"} {
+			w.endpoint(id, "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
+				after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+				for i := after + 1; i <= n; i++ {
+					fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", size))
+				}
+			})
+		}
+	})
+	var calls sync.WaitGroup
+	for i := range 4 {
+		r, err := http.NewRequest("POST", "http://"+w.address+"/stream/", strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		id := fmt.Sprintf("slow-%d", i)
+		r.Host = "h"
+		r.Header.Set("X-Fulmardeal-Attempt-Id", id)
+		r.Header.Set("X-Fulmardeal-Deadline-Ms", "3000")
+		r.Header.Set("Authorization", "Token k1")
+		calls.Go(func() {
+			a, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer a.Body.Close()
+			time.Sleep(1300 * time.Millisecond)
+			body, err := io.Copy(io.Discard, a.Body)
+			if err != nil || body < n*size || w.runs(id) != 1 {
+				t.Errorf("%d bytes, %v, %d runs; want one run", body, err, w.runs(id))
+			}
+		})
+	}
+	calls.Wait()
+	if strings.Contains(log.String(), "endpoint silent") {
+		t.Error("an endpoint counts as silent though its caller was slow")
+	}
+}
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -291,11 +291,11 @@
 	switch {
 	case !u.ended:
 		c.follow(u.attempt)
-		c.silenceTimer.Reset(c.silenceTimeout())
 		if !c.writeEvents(u) {
 			c.logDisconnected()
 			return true
 		}
+		c.silenceTimer.Reset(c.silenceTimeout()) // afterwards, because a slow caller delays the write
 		return false
 	case u.result == finished:
 		c.follow(u.attempt)
