process/gateway: an attempt that has just begun is not silent

When a silent endpoint broke off after a second attempt had begun, the second endpoint counted as silent 250 ms later: it became suspect, and a third attempt took from the budget of retries, where the route allows three.

Cause: the short pause after a refusal was set at the end of any attempt that ran beside another one, whether the others were silent or new.

Changed: the short pause applies only when all attempts that are left have been recorded as silent; a new one gets the usual time. An endpoint that goes on and falls silent again is recorded again.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -34,7 +34,7 @@
 
 	// The fields below belong to the call.
 	cancelled bool
-	silent    bool // its silence has been recorded
+	silent    bool // its present silence has been recorded
 }
 
 // update is what an attempt has received since its last update.
--- a/internal/process/gateway/attempt_test.go
+++ b/internal/process/gateway/attempt_test.go
@@ -118,3 +118,33 @@
 		t.Error("an endpoint counts as silent though its caller was slow")
 	}
 }
+
+// An attempt that has just begun must not count as silent because another one broke off.
+func TestFreshAttemptIsNotSilent(t *testing.T) {
+	w := startGateway(t, func(w *testGateway) {
+		c := catalogue(2)
+		for i := range c.Routes {
+			c.Routes[i].Attempts = 3
+		}
+		w.configure(c)
+		for _, id := range []string{"i-1", "i-2", "i-3"} {
+			w.endpoint(id, "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Last-Event-Id") != "" {
+					time.Sleep(600 * time.Millisecond)
+					events(rw, 5, 9, 9)
+					return
+				}
+				for i := 1; i <= 4; i++ {
+					fmt.Fprintf(rw, "id: %d\ndata: e%d\n\n", i, i)
+				}
+				_ = http.NewResponseController(rw).Flush()
+				time.Sleep(1100 * time.Millisecond)
+				panic(http.ErrAbortHandler)
+			})
+		}
+	})
+	a := w.call("POST", "/stream/", func(r *http.Request) { r.Header.Set("X-Fulmardeal-Deadline-Ms", "3000") })
+	if a.err != nil || !strings.Contains(a.body, "e9") || w.runs(a.id) != 2 {
+		t.Errorf("%d runs, want 2; %v: %q", w.runs(a.id), a.err, a.body)
+	}
+}
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -291,6 +291,7 @@
 	switch {
 	case !u.ended:
 		c.follow(u.attempt)
+		u.attempt.silent = false
 		if !c.writeEvents(u) {
 			c.logDisconnected()
 			return true
@@ -314,7 +315,11 @@
 		c.tried = append(c.tried, u.attempt.reservation.Endpoint().ID())
 	}
 	if len(c.attempts) > 0 {
-		c.silenceTimer.Reset(refusedPause)
+		pause := refusedPause
+		if slices.ContainsFunc(c.attempts, func(a *attempt) bool { return !a.silent }) {
+			pause = c.silenceTimeout()
+		}
+		c.silenceTimer.Reset(pause)
 		return false
 	}
 	if reason, ok := c.mayRetry(ctx); !ok {
