--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"fulmardeal"
@@ -33,7 +34,7 @@
 
 	// The fields below belong to the call.
 	cancelled bool
-	silent    bool // its silence has been recorded
+	silent    bool // its present silence has been recorded
 }
 
 // update is what an attempt has received since its last update.
@@ -51,12 +52,26 @@
 
 // run makes the attempt and reports its end. The slot is free by then.
 func (a *attempt) run(ctx context.Context) {
-	u := a.exchange(ctx)
+	u := a.tryExchange(ctx)
 	a.reservation.Release(u.outcome)
 	u.attempt, u.ended = a, true
 	a.report(ctx, u)
 }
 
+// tryExchange is exchange, except that a panic fails the attempt. No other goroutine
+// would recover it, and it would end the process with the requests of all callers.
+func (a *attempt) tryExchange(ctx context.Context) (u update) {
+	defer func() {
+		if v := recover(); v != nil {
+			c := a.call
+			c.gateway.stats.count("panics", c.service)
+			c.log.Error("attempt panicked", "endpoint", a.reservation.Endpoint().ID(), "value", v, "version", c.version, "stack", string(debug.Stack()))
+			u = update{result: maybeRun, outcome: dispatch.OutcomeFailed}
+		}
+	}()
+	return a.exchange(ctx)
+}
+
 // report passes an update to the call, unless the attempt has been cancelled.
 func (a *attempt) report(ctx context.Context, u update) {
 	select {
@@ -102,6 +117,9 @@
 		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 	case x.Status()/100 == 2 && c.route.Kind == fulmardeal.KindStream:
 		return a.readStream(ctx, x, r)
+	case a.resumed: // the caller has got a part of a stream: nothing but its rest may follow
+		c.log.Warn("endpoint did not resume the stream", "endpoint", e.ID(), "status", x.Status())
+		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 	}
 	return a.readPlain(ctx, x, r, sent)
 }
--- /dev/null
+++ b/internal/process/gateway/attempt_test.go
@@ -0,0 +1,150 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/platform"
+)
+
+// panickingResponseCodec panics when a response that asks for it arrives.
+type panickingResponseCodec struct{ platform.Codec }
+
+func (p panickingResponseCodec) ReadResponseMetadata(status int, h http.Header) fulmardeal.ResponseMetadata {
+	if h.Get("X-Panic") != "" {
+		panic("broken header")
+	}
+	return p.Codec.ReadResponseMetadata(status, h)
+}
+
+// A panic in an attempt must not end the process, which would break all callers'
+// connections, nor keep its slot.
+func TestAttemptPanicEndsOneRequest(t *testing.T) {
+	var log syncBuffer
+	w := startGateway(t, func(w *testGateway) {
+		w.codec, w.log = panickingResponseCodec{}, slog.NewTextHandler(&log, nil)
+		w.endpoint("i-1", "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			if r.RequestURI == "/order/panic" {
+				rw.Header().Set("X-Panic", "1")
+			}
+			_, _ = io.WriteString(rw, "ok")
+		})
+	})
+	for range 5 { // more than the endpoint has slots
+		if a := w.call("POST", "/order/panic", nil); a.status != http.StatusBadGateway || !strings.Contains(log.String(), `msg="attempt panicked" id=`+a.id+` endpoint=i-1 value="broken header"`) {
+			t.Errorf("%+v, want 502 and a line about the panic", a)
+		}
+	}
+	if a := w.call("POST", "/order/", nil); a.status != http.StatusOK || a.body != "ok" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// An endpoint's answer that is not a stream must not be joined to the events that the
+// caller already has, as if it were the rest of them.
+func TestErrorIsNotPartOfStream(t *testing.T) {
+	for _, status := range []int{http.StatusFound, http.StatusBadRequest, http.StatusNotFound, http.StatusConflict} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			t.Parallel()
+			w := startGateway(t, func(w *testGateway) {
+				for _, id := range []string{"i-1", "i-2"} {
+					w.endpoint(id, "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
+						if r.Header.Get("Last-Event-Id") == "" {
+							events(rw, 1, 4, 9)
+						}
+						rw.WriteHeader(status)
+						_, _ = io.WriteString(rw, "no such stream")
+					})
+				}
+			})
+			if a := w.call("POST", "/stream/", nil); a.err == nil || strings.Contains(a.body, "no such stream") {
+				t.Errorf("%d runs, %v: %q", w.runs(a.id), a.err, a.body)
+			}
+		})
+	}
+}
+
+// The time in which a caller takes no bytes is not its endpoint's silence.
+func TestSlowCallerIsNoSilence(t *testing.T) {
+	const n, size = 1500, 8 << 10 // more bytes than the connections buffer
+	var log syncBuffer
+	w := startGateway(t, func(w *testGateway) {
+		w.log = slog.NewTextHandler(&log, nil)
+		for _, id := range []string{"i-1", "i-2"} {
+			w.endpoint(id, "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
+				after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+				for i := after + 1; i <= n; i++ {
+					fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", size))
+				}
+			})
+		}
+	})
+	var calls sync.WaitGroup
+	for i := range 4 {
+		r, err := http.NewRequest("POST", "http://"+w.address+"/stream/", strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		id := fmt.Sprintf("slow-%d", i)
+		r.Host = "h"
+		r.Header.Set("X-Fulmardeal-Attempt-Id", id)
+		r.Header.Set("X-Fulmardeal-Deadline-Ms", "3000")
+		r.Header.Set("Authorization", "Token k1")
+		calls.Go(func() {
+			a, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer a.Body.Close()
+			time.Sleep(1300 * time.Millisecond)
+			body, err := io.Copy(io.Discard, a.Body)
+			if err != nil || body < n*size || w.runs(id) != 1 {
+				t.Errorf("%d bytes, %v, %d runs; want one run", body, err, w.runs(id))
+			}
+		})
+	}
+	calls.Wait()
+	if strings.Contains(log.String(), "endpoint silent") {
+		t.Error("an endpoint counts as silent though its caller was slow")
+	}
+}
+
+// An attempt that has just begun must not count as silent because another one broke off.
+func TestFreshAttemptIsNotSilent(t *testing.T) {
+	w := startGateway(t, func(w *testGateway) {
+		c := catalogue(2)
+		for i := range c.Routes {
+			c.Routes[i].Attempts = 3
+		}
+		w.configure(c)
+		for _, id := range []string{"i-1", "i-2", "i-3"} {
+			w.endpoint(id, "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Last-Event-Id") != "" {
+					time.Sleep(600 * time.Millisecond)
+					events(rw, 5, 9, 9)
+					return
+				}
+				for i := 1; i <= 4; i++ {
+					fmt.Fprintf(rw, "id: %d\ndata: e%d\n\n", i, i)
+				}
+				_ = http.NewResponseController(rw).Flush()
+				time.Sleep(1100 * time.Millisecond)
+				panic(http.ErrAbortHandler)
+			})
+		}
+	})
+	a := w.call("POST", "/stream/", func(r *http.Request) { r.Header.Set("X-Fulmardeal-Deadline-Ms", "3000") })
+	if a.err != nil || !strings.Contains(a.body, "e9") || w.runs(a.id) != 2 {
+		t.Errorf("%d runs, want 2; %v: %q", w.runs(a.id), a.err, a.body)
+	}
+}
