process/gateway: answer requests at the end of the grace period

Requests that were still in progress at the end of a shutdown's grace period had their connection closed, also plain ones whose response had not begun: the caller couldn't tell this from a crash of the entry. And the margin before SIGKILL was fixed at 900 ms, which for grace periods below 5.4 s is earlier than the last sixth, up to which callers may count on an answer.

The requests' contexts now derive from one that ends with a cause at the end of the grace period, which is treated like the deadline: a request that may have run gets 504 or the last failure of an endpoint, one that has not run gets 503, and only a response that has begun is broken off. The connections are closed when these answers are written, at most 300 ms later. The margin is at most an eighth of the grace period; with 8 s it is 900 ms as before.

The test failed before: an order and two reads at a silent endpoint ended with EOF, 4.10 s into a grace period of 5 s (five sixths are 4.17 s). In the test's store, Since now returns when its context ends, as the platform's store does; without it the process of the test stopped 1.2 s late.

Requests in the queue are not affected: they wait 250 ms at most.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -77,15 +77,6 @@
 	// this.
 	maxReadyStoreAge = 2500 * time.Millisecond
 
-	// shutdownDelay is how long an entry that shuts down still accepts
-	// requests. The load balancer polls the readiness once a second and
-	// acts on the second negative response.
-	shutdownDelay = 2600 * time.Millisecond
-
-	// shutdownMargin is the margin between the last response and SIGKILL.
-	// Streams that are still in progress by then are aborted.
-	shutdownMargin = 900 * time.Millisecond
-
 	heapLimitFraction = 0.75 // heap limit as a fraction of the memory limit
 
 	bufferedFraction     = 0.2      // maximum size of all buffered responses, as a fraction of the memory limit
@@ -344,7 +335,10 @@
 	g.log.Info("started", "name", g.settings.Name, "place", g.settings.DataCentre, "callers", g.settings.CallerAddress)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	requests, endRequests := context.WithCancelCause(context.Background())
+	defer endRequests(nil)
 	server := g.server()
+	server.BaseContext = func(net.Listener) context.Context { return requests }
 	ready := &http.Server{Handler: http.HandlerFunc(g.handleReadiness)}
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return serve(server, g.callerListener) })
@@ -358,7 +352,7 @@
 		defer stop()
 		select {
 		case <-ctx.Done():
-			g.shutDown(server)
+			g.shutDown(server, endRequests)
 		case <-work.Done():
 		}
 		g.rpcServer.Stop()
@@ -417,20 +411,6 @@
 	}
 }
 
-// shutDown accepts requests until the load balancer has noticed that the entry
-// is leaving, then waits for the requests in progress to end.
-func (g *Gateway) shutDown(s *http.Server) {
-	g.leaving.Store(true)
-	g.log.Info("leaving", "grace", g.settings.Bounds.Grace)
-	start := time.Now()
-	time.Sleep(shutdownDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Bounds.Grace-shutdownMargin-time.Since(start))
-	defer cancel()
-	if err := s.Shutdown(ctx); err != nil {
-		g.log.Warn("shutdown grace period expired with requests in progress", "err", err)
-	}
-}
-
 // ready reports whether the load balancer should send requests to this entry,
 // and the reason for the response body.
 func (g *Gateway) ready() (bool, string) {
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -62,6 +62,9 @@
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
 		}
+		if ctx.Err() != nil {
+			return nil, 0, ctx.Err()
+		}
 		if len(all) > int(from) || time.Now().After(until) {
 			return all[min(int(from), len(all)):], fulmardeal.Position(len(all)), nil
 		}
--- /dev/null
+++ b/internal/process/gateway/grace.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+)
+
+// Times of a shutdown.
+const (
+	// shutdownDelay is how long an entry that shuts down still accepts
+	// requests. The load balancer polls the readiness once a second and
+	// acts on the second negative response.
+	shutdownDelay = 2600 * time.Millisecond
+
+	// shutdownMargin is the margin between the end of the requests in progress
+	// and SIGKILL, at most an eighth of the grace period. Callers expect that a
+	// request that lasts to the last sixth of the grace period may be cut, but
+	// none earlier.
+	shutdownMargin = 900 * time.Millisecond
+
+	// lastAnswersTimeout is how long the answers to these requests may take.
+	lastAnswersTimeout = 300 * time.Millisecond
+)
+
+// errGraceOver is the cause of the end of a request's context at the end of the
+// grace period.
+var errGraceOver = errors.New("grace period over")
+
+// timeIsUp reports whether a request's context has ended at its deadline or at the
+// end of the grace period, and not because the caller has disconnected.
+func timeIsUp(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, errGraceOver)
+}
+
+// shutDown accepts requests until the load balancer has noticed that the entry
+// is leaving, then waits for the requests in progress to end. At the end of the
+// grace period, it ends them with endRequests.
+//
+// Server.Shutdown never closes a connection whose request is passed on: it declares
+// the shutdown before it looks at the state of a connection, and a connection that
+// has read a request looks for a shutdown after it has changed its state.
+func (g *Gateway) shutDown(s *http.Server, endRequests context.CancelCauseFunc) {
+	g.leaving.Store(true)
+	grace := g.settings.Bounds.Grace
+	g.log.Info("leaving", "grace", grace)
+	start := time.Now()
+	time.Sleep(shutdownDelay)
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-min(shutdownMargin, grace/8)))
+	defer cancel()
+	err := s.Shutdown(ctx)
+	if err == nil {
+		return
+	}
+	g.log.Warn("shutdown grace period expired with requests in progress", "err", err)
+	endRequests(errGraceOver)
+	ctx, cancel = context.WithTimeout(context.Background(), lastAnswersTimeout)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		g.log.Warn("connections closed with requests in progress", "err", err)
+	}
+}
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -235,7 +235,7 @@
 		case <-c.silenceTimer.C:
 			c.onSilence(ctx)
 		case <-ctx.Done():
-			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			if timeIsUp(ctx) {
 				c.runs += len(c.attempts)
 				c.giveUp(ctx, "time is up")
 				return
@@ -419,7 +419,7 @@
 
 // handleReserveError handles a request for which no endpoint could be reserved.
 func (c *call) handleReserveError(ctx context.Context, err error) {
-	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if ctx.Err() != nil && !timeIsUp(ctx) {
 		c.logDisconnected()
 		return
 	}
