link/connection, process: a lack of descriptors no longer ends the process

A process that could not accept a connection because it had used up its descriptors ended. With it ended the connections of all callers whose requests were in progress, without an answer or a refusal.

Cause: Server.Serve returned any error of Accept, and the processes (gateway, entry, agent, loader) end when one of their servers does: the gateway then calls http.Server.Close. fasthttp, which serves the entry's callers, does the same for EMFILE; net/http, which serves the gateway's, waits and tries again. So one peer that dials while descriptors are short was enough.

Evidence: TestServerOutlastsLackOfDescriptors failed in 5 of its 6 cases ("server ended with error accept4: too many open files"), the sixth is an error that doesn't pass; TestEntryOutlastsLackOfDescriptors failed with "connection reset by peer". Not reproduced with a real limit on descriptors.

Changed: RetryingListener repeats an accept that failed for lack of descriptors or memory, or because the peer has gone, after 5 ms and up to 1 s, and logs it. Server and the entry accept through it. Errors that don't pass still end Serve.

Why it works: requests in progress release what the accept lacked, and nothing that they need is closed meanwhile.

--- a/internal/link/connection/server.go
+++ b/internal/link/connection/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/rpc"
 	"sync"
@@ -15,6 +16,7 @@
 type Server struct {
 	listener net.Listener
 	rpc      *rpc.Server
+	log      *slog.Logger
 
 	mu     sync.Mutex
 	conns  []net.Conn
@@ -29,7 +31,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	s := &Server{listener: l, rpc: rpc.NewServer()}
+	s := &Server{listener: l, rpc: rpc.NewServer(), log: slog.New(slog.DiscardHandler)}
 	if err := s.Register("Heartbeat", Heartbeat{}); err != nil {
 		l.Close()
 		return nil, nil, err
@@ -43,10 +45,15 @@
 // Register adds a service under the given net/rpc name.
 func (s *Server) Register(name string, service any) error { return s.rpc.RegisterName(name, service) }
 
+// SetLog sets the log to which Serve reports failures to accept a connection. It must be
+// called before Serve.
+func (s *Server) SetLog(log *slog.Logger) { s.log = log }
+
 // Serve accepts connections until the server is closed.
 func (s *Server) Serve() error {
+	listener := NewRetryingListener(s.listener, s.log)
 	for {
-		conn, err := s.listener.Accept()
+		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) || err != nil && s.isClosed() {
 			return nil
 		}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"fulmardeal"
+	"fulmardeal/internal/link/connection"
 	"fulmardeal/internal/process/node"
 	"fulmardeal/internal/process/settings"
 	"fulmardeal/internal/proof/invariant"
@@ -157,7 +158,7 @@
 	defer stop()
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return e.node.Run(work) })
-	g.Go(func() error { return e.server.Serve(e.listener) })
+	g.Go(func() error { return e.server.Serve(connection.NewRetryingListener(e.listener, e.log)) })
 	g.Go(func() error { return node.RunEvery(work, refreshInterval, e.refresh) })
 	g.Go(func() error { return node.RunEvery(work, leaseInterval, e.budgets.requestLeases) })
 	g.Go(func() error {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -207,6 +207,7 @@
 		cleanup()
 		return nil, nil, err
 	}
+	server.SetLog(o.Log)
 	g.rpcServer = server
 	cleanups = append(cleanups, closeServer)
 	for _, l := range []struct {
--- a/internal/process/loader/loader.go
+++ b/internal/process/loader/loader.go
@@ -142,6 +142,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	server.SetLog(o.Log)
 	pool, closePool := connection.NewPool(connection.TCP{}, maxPeerConns)
 	l.server, l.pool = server, pool
 	l.origin = &origin{open: o.Origin}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -127,6 +127,7 @@
 		startTime:   time.Now(),
 		candidates:  make(map[string]candidates),
 	}
+	server.SetLog(n.log)
 	cleanup := func() {
 		closeServer()
 		closePool()
