platform/adapter: a test that a call outlasts a silence of its endpoint

The agent's client of its endpoint has no timeout but the request's deadline. TestSilentEndpoint holds on to that over sockets: an endpoint that is silent for 1.3 s before the header of its response or in the middle of the body ends no call.

--- a/internal/platform/adapter/endpoint_test.go
+++ b/internal/platform/adapter/endpoint_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"fulmardeal"
 )
@@ -160,3 +161,43 @@
 		}
 	}
 }
+
+// TestSilentEndpoint checks that a call outlasts a silence of its endpoint, before the
+// header and in the middle of the body, until its deadline.
+func TestSilentEndpoint(t *testing.T) {
+	const silence = 1300 * time.Millisecond
+	tests := []struct {
+		name                    string
+		beforeHeader, afterPart time.Duration
+	}{
+		{"before the header", silence, 0},
+		{"in the body", 0, silence},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(tc.beforeHeader)
+				_, _ = io.WriteString(w, "first ") // the test fails if this does
+				w.(http.Flusher).Flush()
+				time.Sleep(tc.afterPart)
+				_, _ = io.WriteString(w, "second")
+			}))
+			defer s.Close()
+			e, err := NewEndpoint(s.URL)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			a, err := e.Call(ctx, fulmardeal.Call{ID: "one", Method: "POST", Path: "/"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Body.Close()
+			if data, err := io.ReadAll(a.Body); err != nil || string(data) != "first second" {
+				t.Errorf("read %q, error %v; want the whole body", data, err)
+			}
+		})
+	}
+}
