traffic/request: a repeated order survives an agent that is silent for a second

A caller that sent an order again with its idempotency key, while the first one was in progress, got 502 "lost" if the agent was silent for about 0.8 s or the entry's connection to it was dead. The order went on and was done; its response was there for the asking.

Cause: an entry that finds the key taken asks the agent for the state of the attempt that owns it. One query without an answer was taken for the loss of the attempt. After a lost connection the entry has always asked up to three times, over new connections.

Evidence: TestSilenceEndsNoRepeatedOrder failed in both cases, an agent that is silent for 1.3 s and a dead connection: "refused: lost (ran unknown, come back in 1s)". Ruled out: a second run; the ledger had one.

Changed: both places use the same queryState, which asks up to maxQueries times. If the deadline passes meanwhile, the refusal says late, not lost.

--- a/internal/traffic/request/attempt.go
+++ b/internal/traffic/request/attempt.go
@@ -15,8 +15,7 @@
 // Limits of the calls about an attempt.
 const (
 	// queryTimeout limits one query for the state of an attempt. maxQueries is how
-	// many such queries may fail after a connection was lost, before the attempt
-	// is given up as lost.
+	// many such queries may fail in a row before the attempt is given up as lost.
 	queryTimeout = time.Second
 	maxQueries   = 3
 
@@ -159,27 +158,32 @@
 // of its response can be resumed.
 func (r *Router) resolve(ctx context.Context, a *attemptState) *outcome {
 	q := attempt.StateQuery{ID: a.id, Incarnation: a.agent.Incarnation, Age: time.Since(a.sent)}
+	reply, err := r.queryState(ctx, a, q)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return r.contextOutcome(ctx)
+	case err == nil && reply.State == attempt.StateFenced:
+		return &outcome{ran: attempt.RanNo, reason: attempt.ReasonFenced}
+	case err == nil && reply.State == attempt.StateRunning:
+		return nil
+	}
+	return &outcome{ran: attempt.RanUnknown, cause: CauseLost, fault: attempt.FaultCut}
+}
+
+// queryState queries the agent for the state of an attempt until it answers, at most
+// maxQueries times.
+func (r *Router) queryState(ctx context.Context, a *attemptState, q attempt.StateQuery) (reply attempt.StateReply, err error) {
 	for range maxQueries {
-		if ctx.Err() != nil {
-			return r.contextOutcome(ctx)
-		}
-		reply, err := r.queryState(ctx, a, q)
-		if err != nil {
-			continue // the next query uses a new connection if this one is dead
-		}
-		switch reply.State {
-		case attempt.StateFenced:
-			return &outcome{ran: attempt.RanNo, reason: attempt.ReasonFenced}
-		case attempt.StateRunning:
-			return nil
-		default:
-			return &outcome{ran: attempt.RanUnknown, cause: CauseLost, fault: attempt.FaultCut}
+		reply, err = r.queryStateOnce(ctx, a, q)
+		if err == nil || ctx.Err() != nil {
+			break
 		}
+		// The next query uses a new connection if this one is dead.
 	}
-	return &outcome{ran: attempt.RanUnknown, cause: CauseLost, fault: attempt.FaultCut}
+	return reply, err
 }
 
-func (r *Router) queryState(ctx context.Context, a *attemptState, q attempt.StateQuery) (attempt.StateReply, error) {
+func (r *Router) queryStateOnce(ctx context.Context, a *attemptState, q attempt.StateQuery) (attempt.StateReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	var reply attempt.StateReply
--- a/internal/traffic/request/idempotency.go
+++ b/internal/traffic/request/idempotency.go
@@ -67,6 +67,8 @@
 
 	reply, err := r.awaitArrival(ctx, a)
 	switch {
+	case err != nil && ctx.Err() != nil:
+		return r.contextOutcome(ctx)
 	case err != nil, reply.State == attempt.StateGone:
 		return &outcome{ran: attempt.RanUnknown, cause: CauseLost}
 	case reply.State == attempt.StateFenced:
--- a/internal/traffic/request/silence_test.go
+++ b/internal/traffic/request/silence_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -269,3 +270,50 @@
 		}
 	}
 }
+
+// An order that is sent again with its key, and finds the first one in progress, gets
+// its response also if the agent is silent when it is asked about the first one.
+func TestSilenceEndsNoRepeatedOrder(t *testing.T) {
+	faults := map[string]func(f *network.Fabric, match func(_, to network.Site) bool){
+		"agent silent for 1.3s": func(f *network.Fabric, match func(_, to network.Site) bool) {
+			f.Stall(1300*time.Millisecond, match)
+		},
+		"connection dead": func(f *network.Fabric, match func(_, to network.Site) bool) {
+			f.Blackhole(match)
+		},
+	}
+	for name, inject := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, err := newCluster(1, 2, 3*time.Second, func() behaviour { return behaviourGood }, false)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() {
+					c.close()
+					time.Sleep(time.Minute) // let the links deliver what is in transit
+				}()
+				warmUp := order{entry: 1, body: "warm-up"} // opens the second entry's connection
+				if r := c.send(warmUp); r.err != nil {
+					t.Fatal(r.err)
+				}
+				first, again := order{key: "key", body: "key"}, order{at: time.Second, entry: 1, key: "key", body: "key"}
+				var orders sync.WaitGroup
+				results := make([]result, 2)
+				orders.Go(func() { results[0] = c.send(first) })
+				orders.Go(func() { results[1] = c.send(again) })
+				time.Sleep(time.Second - time.Millisecond)
+				inject(c.fabric, func(from, to network.Site) bool { return from.Instance == "entry1" && to.Instance == "agent0" })
+				orders.Wait()
+				for _, r := range results {
+					if r.err != nil || r.response != "key" {
+						t.Errorf("entry %d: response %q, error %v; want the response of the order", r.order.entry, r.response, r.err)
+					}
+				}
+				if n := c.ledger.count("key"); n != 1 {
+					t.Errorf("order ran %d times, want once", n)
+				}
+			})
+		})
+	}
+}
