process/gateway: a request is withdrawn too if its engine's weights are superseded later

A request that waited in an engine when a new version of the weights was named was not withdrawn before the end of the old version's permitted use, and could start on it then.

Cause: the time by which it must have started was read once, before it was sent, when the weights were not superseded yet. Until attempts ran beside each other, the timeout of the first event ended the wait of requests that may be repeated, which hid this; a request on its last attempt waited on.

Changed: the call checks the weights of its attempts while they wait, as long as one of them has not begun to answer. This replaces the read deadlines that were fixed before.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"fulmardeal"
@@ -31,6 +32,8 @@
 	request     forward.Request
 	resumed     bool // the caller already has part of the response
 	cancel      context.CancelFunc
+	withdraw    context.CancelFunc // ends the exchange, but not the report of its end
+	begun       atomic.Bool        // the endpoint has begun to answer
 
 	// The fields below belong to the call.
 	cancelled bool
@@ -50,9 +53,10 @@
 	outcome  dispatch.Outcome
 }
 
-// run makes the attempt and reports its end. The slot is free by then.
-func (a *attempt) run(ctx context.Context) {
-	u := a.tryExchange(ctx)
+// run makes the attempt and reports its end. The slot is free by then. The context of the
+// exchange is derived from ctx.
+func (a *attempt) run(ctx, exchange context.Context) {
+	u := a.tryExchange(exchange)
 	a.reservation.Release(u.outcome)
 	u.attempt, u.ended = a, true
 	a.report(ctx, u)
@@ -90,7 +94,7 @@
 	g := c.gateway
 	e := a.reservation.Endpoint()
 	sent := time.Now()
-	x, err := g.pool.Send(ctx, e.Address(), a.request, c.maxIdleTime(), a.reservation.StartBy())
+	x, err := g.pool.Send(ctx, e.Address(), a.request, c.maxIdleTime(), noDeadline)
 	if err != nil {
 		return a.failure(ctx, err, sent, false)
 	}
@@ -131,15 +135,15 @@
 	id := a.reservation.Endpoint().ID()
 	var pending []byte
 	buf := make([]byte, readSize)
-	by := a.reservation.StartBy()
 	lastHeard, started := time.Now(), false
 	for {
-		n, err := x.Read(buf, by)
+		n, err := x.Read(buf, noDeadline)
 		pending = append(pending, buf[:n]...)
 		events, partial := splitEvents(pending)
 		if len(events) > 0 {
+			a.begun.Store(true)
 			a.reservation.RecordFirstEvent()
-			lastHeard, started, by = time.Now(), true, noDeadline
+			lastHeard, started = time.Now(), true
 			a.report(ctx, update{attempt: a, status: x.Status(), header: x.Header(), weights: r.WeightsVersion, events: events})
 			pending = append([]byte(nil), partial...) // the call may still use the events
 		}
@@ -164,6 +168,7 @@
 // error of an endpoint as a failure if the request may be tried at another one.
 func (a *attempt) readPlain(ctx context.Context, x *forward.Exchange, r fulmardeal.ResponseMetadata, sent time.Time) update {
 	c := a.call
+	a.begun.Store(true)
 	body, err := x.ReadAll(maxPlainBytes, noDeadline)
 	if err != nil {
 		return a.failure(ctx, err, sent, false)
@@ -190,10 +195,6 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return update{result: maybeRun, outcome: dispatch.OutcomeCancelled}
 	}
-	if startBy := a.reservation.StartBy(); !startBy.IsZero() && !time.Now().Before(startBy) && !started {
-		c.log.Info("request withdrawn: the endpoint's weights may not be used any longer", "endpoint", e.ID(), "weights", a.reservation.Weights())
-		return update{result: maybeRun, outcome: dispatch.OutcomeCancelled}
-	}
 	var unsent *fulmardeal.UnsentError
 	isUnsent := errors.As(err, &unsent)
 	point := "answer"
--- a/internal/process/gateway/attempt_test.go
+++ b/internal/process/gateway/attempt_test.go
@@ -148,3 +148,42 @@
 		t.Errorf("%d runs, want 2; %v: %q", w.runs(a.id), a.err, a.body)
 	}
 }
+
+// A request that already waits in an engine when its weights are superseded must be
+// withdrawn before the end of their permitted use, too.
+func TestWithdrawnIfSupersededWhileWaiting(t *testing.T) {
+	cancelled := make(chan time.Time, 1)
+	w := startGateway(t, func(w *testGateway) {
+		w.bounds.VersionSwitch = 2 * time.Second
+		c := catalogue(2)
+		c.Services = append(c.Services, fulmardeal.Service{Name: "llm", Engine: &fulmardeal.EngineSpec{Slots: 4, Layers: 1, Models: []fulmardeal.EngineModel{{Name: "m"}}}})
+		c.Routes = append(c.Routes, fulmardeal.Route{
+			Name: "verse", Host: "h", Prefix: "/verse/", Kind: fulmardeal.KindStream, Timeout: 5 * time.Second, Objective: 300 * time.Millisecond,
+			Shares: []fulmardeal.Share{{Service: "llm", Weight: 1}}, Attempts: 2, Resumable: true,
+		})
+		w.configure(c)
+		address := w.endpoint("i-1", "llm", "a", func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body) // the server notices a closed connection only afterwards
+			select {
+			case <-r.Context().Done():
+				cancelled <- time.Now()
+			case <-time.After(5 * time.Second):
+			}
+		})
+		w.register(fulmardeal.Registration{ID: "i-1", Service: "llm", Address: address, DataCentre: "a", Slots: 4, Engine: true, Spans: []fulmardeal.Span{{To: 1, Version: 1}}})
+	})
+	published := make(chan time.Time, 1)
+	time.AfterFunc(300*time.Millisecond, func() {
+		published <- time.Now()
+		w.store.put("operator", fulmardeal.Change{Key: "version/m", Naming: &fulmardeal.Publication{Model: "m", Version: 2}})
+	})
+	a := w.call("POST", "/verse/", func(r *http.Request) { r.Header.Set("X-Fulmardeal-Deadline-Ms", "4500") })
+	select {
+	case at := <-cancelled:
+		if d := at.Sub(<-published); d > w.bounds.VersionSwitch-200*time.Millisecond {
+			t.Errorf("withdrawn after %v with status %d, want well before %v", d, a.status, w.bounds.VersionSwitch)
+		}
+	case <-time.After(2 * time.Second):
+		t.Errorf("request is still at the engine; status %d", a.status)
+	}
+}
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -31,6 +31,10 @@
 	// started or cannot confirm its keys.
 	retryAfterStartup = 300 * time.Millisecond
 
+	// weightsCheckInterval is the interval between two checks whether the weights
+	// of an endpoint that has not begun to answer may still be used.
+	weightsCheckInterval = 100 * time.Millisecond
+
 	defaultTimeout = 60 * time.Second // timeout of a request, if neither the route nor the caller sets one
 )
 
@@ -61,6 +65,7 @@
 	attempts     []*attempt  // attempts in progress, in the order in which they began
 	updates      chan update // what the attempts receive
 	silenceTimer *time.Timer // fires when no attempt has received anything for too long
+	weightsTimer *time.Timer // fires when the weights of endpoints that have not begun are to be checked
 }
 
 // ServeHTTP handles one request of a caller.
@@ -223,6 +228,8 @@
 	c.updates = make(chan update)
 	c.silenceTimer = time.NewTimer(c.silenceTimeout())
 	defer c.silenceTimer.Stop()
+	c.weightsTimer = time.NewTimer(weightsCheckInterval)
+	defer c.weightsTimer.Stop()
 	if !c.startNext(ctx) {
 		return
 	}
@@ -234,6 +241,8 @@
 			}
 		case <-c.silenceTimer.C:
 			c.onSilence(ctx)
+		case now := <-c.weightsTimer.C:
+			c.checkWeights(now)
 		case <-ctx.Done():
 			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 				c.runs += len(c.attempts)
@@ -276,11 +285,28 @@
 	request := c.request
 	request.Header = c.gateway.codec.ForwardHeader(c.request.Header, forwarded)
 	ctx, cancel := context.WithCancel(ctx)
-	a := &attempt{call: c, reservation: reservation, request: request, resumed: c.progress.started, cancel: cancel}
+	exchange, withdraw := context.WithCancel(ctx)
+	a := &attempt{call: c, reservation: reservation, request: request, resumed: c.progress.started, cancel: cancel, withdraw: withdraw}
 	c.attempts = append(c.attempts, a)
 	c.sends++
 	c.silenceTimer.Reset(c.silenceTimeout())
-	go a.run(ctx)
+	c.weightsTimer.Reset(weightsCheckInterval)
+	go a.run(ctx, exchange)
+}
+
+// checkWeights withdraws the request from endpoints that have not begun to answer it and
+// whose weights may not be used any longer. Weights may be superseded while it waits.
+func (c *call) checkWeights(now time.Time) {
+	for _, a := range c.attempts {
+		if a.begun.Load() {
+			continue
+		}
+		c.weightsTimer.Reset(weightsCheckInterval)
+		if by := a.reservation.StartBy(); !by.IsZero() && !now.Before(by) {
+			c.log.Info("request withdrawn: the endpoint's weights may not be used any longer", "endpoint", a.reservation.Endpoint().ID(), "weights", a.reservation.Weights())
+			a.withdraw()
+		}
+	}
 }
 
 // apply applies an update and reports whether the request has ended.
