process/gateway: the body of a cancelled attempt's response is released

An update of a cancelled attempt was dropped before its body was noted, so that the room of the pool for bodies shrank for good. This happens if the update and the cancellation are ready at the same time: report picks one of the two at random.

Evidence: found by reading; no run has shown it. TestCancelledResponseIsReleased applies such an update by hand. On the code before, which filtered it elsewhere, the same call panics, so that the test proves the new place only.

Changed: apply notes the body first, and then ignores the update of a cancelled attempt.

--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -236,7 +236,7 @@
 	for {
 		select {
 		case u := <-c.updates:
-			if !u.attempt.cancelled && c.apply(ctx, u) {
+			if c.apply(ctx, u) {
 				return
 			}
 		case <-c.silenceTimer.C:
@@ -315,6 +315,8 @@
 		c.buffered = append(c.buffered, u.response.body)
 	}
 	switch {
+	case u.attempt.cancelled:
+		return false
 	case !u.ended:
 		c.follow(u.attempt)
 		u.attempt.silent = false
