process/gateway, traffic/forward: a resumed stream that is cut before its first event is not complete

A stream ended as complete after its fourth of nine events, though its first endpoint would have gone on: the second one closed its connection after a header without a length.

Cause: a resumed stream may rightly end without events, when the caller already has all of them. With neither length nor chunks, that can't be told from an endpoint that broke off.

Evidence: the new case `event 1300ms cut` of TestSilentEndpointEndsNoAnswer fails for its three requests before (4 events, no error), passes after, with -race.

Changed: such an end is a failure of the attempt; with a length or chunks it stays a complete response. A second endpoint that ends in order with no events is still believed.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -149,7 +149,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			if len(pending) > 0 || !started && !a.resumed {
+			if len(pending) > 0 || !started && (!a.resumed || x.EndsWithConnection()) {
 				c.log.Warn("stream ended within an event or before the first", "endpoint", id, "begun", started)
 				return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 			}
--- a/internal/process/gateway/silence_test.go
+++ b/internal/process/gateway/silence_test.go
@@ -77,6 +77,8 @@
 		hangUp(rw, r)
 	case "silent":
 		s.answer(rw, r)
+	case "cut":
+		hangUpAfterHeader(rw, r)
 	case "rejects":
 		rw.WriteHeader(http.StatusNotFound)
 		_, _ = io.WriteString(rw, "no such stream")
@@ -85,6 +87,17 @@
 	}
 }
 
+// hangUpAfterHeader sends the header of a response whose length isn't known, and closes the
+// connection in order.
+func hangUpAfterHeader(rw http.ResponseWriter, r *http.Request) {
+	c, _, err := rw.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Fulmardeal-Attempt-Id: %s\r\nX-Fulmardeal-Response-Stamp: by-2\r\n\r\n", r.Header.Get("X-Fulmardeal-Attempt-Id"))
+	c.Close()
+}
+
 // want returns the body of a complete answer.
 func (s silence) want() string {
 	if s.path != "/stream/" {
--- a/internal/traffic/forward/exchange.go
+++ b/internal/traffic/forward/exchange.go
@@ -155,6 +155,12 @@
 // Length returns the length of the response body, or -1 if it is unknown.
 func (x *Exchange) Length() int64 { return x.response.ContentLength }
 
+// EndsWithConnection reports whether the response body has neither length nor chunks, so
+// that its end can't be told from an endpoint that breaks off.
+func (x *Exchange) EndsWithConnection() bool {
+	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0 && x.response.StatusCode != http.StatusNoContent
+}
+
 // Reused reports whether the connection had carried an earlier request.
 func (x *Exchange) Reused() bool { return x.conn.reused }
 
@@ -241,8 +247,8 @@
 	if x.response == nil || !x.complete || x.response.Close || c.reader.Buffered() > 0 {
 		return false
 	}
-	if x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0 && x.response.StatusCode != http.StatusNoContent {
-		return false // the response body has no length: it ends where the endpoint closes the connection
+	if x.EndsWithConnection() {
+		return false
 	}
 	select {
 	case err := <-x.bodyWritten:
