process/gateway: a stream whose events have no ids is not resumed

Callers of a resumable route whose events bear no ids got events twice when the endpoint broke off or was silent: the second endpoint began with the first event again.

Cause: events without an id count as new, and there is no id after which to resume. Break-offs had this before, too.

Evidence: TestStreamWithoutIDsIsNotResumed: "e1 to e4, e1 to e4" for both a silent and a broken endpoint before, where the silent one would have gone on; passes 2 of 2 times after.

Changed: once an event with data and without an id has been sent, no other endpoint is asked. Comments, which have neither, don't matter.

TestCallerDisconnectsFromTwoAttempts is new, too, and passed at once: both endpoints stop when the caller leaves, and the second attempt is given the time that is left.

--- a/internal/process/gateway/attempt_test.go
+++ b/internal/process/gateway/attempt_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -187,3 +188,65 @@
 		t.Errorf("request is still at the engine; status %d", a.status)
 	}
 }
+
+// A stream whose events have no ids can't be resumed: the events would come twice.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	w := startGateway(t, func(w *testGateway) {
+		for _, id := range []string{"i-1", "i-2"} {
+			w.endpoint(id, "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body)
+				for i := 1; i <= 9; i++ {
+					if i == 5 && r.RequestURI == "/stream/silent" {
+						time.Sleep(1300 * time.Millisecond)
+					}
+					if i == 5 && r.RequestURI == "/stream/broken" {
+						panic(http.ErrAbortHandler)
+					}
+					fmt.Fprintf(rw, "data: e%d\n\n", i)
+					_ = http.NewResponseController(rw).Flush()
+				}
+			})
+		}
+	})
+	for _, path := range []string{"/stream/silent", "/stream/broken"} {
+		a := w.call("POST", path, nil)
+		if strings.Count(a.body, "data: e1\n") != 1 || w.runs(a.id) != 1 || (a.err == nil) != strings.Contains(a.body, "e9") {
+			t.Errorf("%s: %d runs, %v: %q", path, w.runs(a.id), a.err, a.body)
+		}
+	}
+}
+
+// When a caller disconnects, both endpoints that have its request must stop.
+func TestCallerDisconnectsFromTwoAttempts(t *testing.T) {
+	stopped := make(chan time.Time, 2)
+	w := startGateway(t, func(w *testGateway) {
+		for _, id := range []string{"i-1", "i-2"} {
+			w.endpoint(id, "shop", "a", func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body)
+				if d, _ := strconv.Atoi(r.Header.Get("X-Fulmardeal-Deadline-Ms")); w.runs(r.Header.Get("X-Fulmardeal-Attempt-Id")) == 2 && d > 650 {
+					t.Errorf("the second attempt was given %d ms", d)
+				}
+				<-r.Context().Done()
+				stopped <- time.Now()
+			})
+		}
+	})
+	var left time.Time
+	a := w.call("GET", "/read/", func(r *http.Request) { // its timeout is 1 s, its second attempt begins after 0.4 s
+		r.Header.Set("X-Fulmardeal-Deadline-Ms", "1200")
+		left = time.Now().Add(600 * time.Millisecond)
+		ctx, cancel := context.WithDeadline(r.Context(), left)
+		t.Cleanup(cancel)
+		*r = *r.WithContext(ctx)
+	})
+	for range 2 {
+		select {
+		case at := <-stopped:
+			if d := at.Sub(left); d < 0 || d > 300*time.Millisecond {
+				t.Errorf("an endpoint stopped %v after the caller disconnected", d)
+			}
+		case <-time.After(2 * time.Second):
+			t.Errorf("still running 2 s after the caller disconnected; %d runs", w.runs(a.id))
+		}
+	}
+}
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -424,6 +424,8 @@
 		return "time is up", false
 	case runs > 0 && !c.route.Repeatable():
 		return "may have run", false
+	case c.progress.unresumable:
+		return "events without ids", false
 	case runs >= c.route.Attempts:
 		return "attempts used up", false
 	case c.sends >= maxEndpointsTried:
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -15,6 +15,7 @@
 	started      bool // the response's header has been sent to the caller
 	events       int
 	lastID       string        // id of the last event sent to the caller
+	unresumable  bool          // an event without id has been sent, which would come twice if the stream were resumed
 	firstEvent   time.Duration // from the receipt of the request to the first event
 	lastSent     time.Time     // time at which the last event was sent
 	longestPause time.Duration // longest interval between two events
@@ -64,6 +65,8 @@
 		}
 		if id != "" {
 			c.progress.lastID = id
+		} else if hasData(event) {
+			c.progress.unresumable = true
 		}
 		c.progress.events++
 		unsent = append(unsent, event...)
@@ -114,6 +117,11 @@
 	return ""
 }
 
+// hasData reports whether an event has data. Others are comments.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("data")) || bytes.Contains(event, []byte("\ndata"))
+}
+
 // isLaterID reports whether the event id comes after last. Ids are increasing
 // numbers; if one of the two isn't a number, id counts as later.
 func isLaterID(id, last string) bool {
