--- a/internal/process/gateway/attempt_test.go
+++ b/internal/process/gateway/attempt_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -148,3 +149,104 @@
 		t.Errorf("%d runs, want 2; %v: %q", w.runs(a.id), a.err, a.body)
 	}
 }
+
+// A request that already waits in an engine when its weights are superseded must be
+// withdrawn before the end of their permitted use, too.
+func TestWithdrawnIfSupersededWhileWaiting(t *testing.T) {
+	cancelled := make(chan time.Time, 1)
+	w := startGateway(t, func(w *testGateway) {
+		w.bounds.VersionSwitch = 2 * time.Second
+		c := catalogue(2)
+		c.Services = append(c.Services, fulmardeal.Service{Name: "llm", Engine: &fulmardeal.EngineSpec{Slots: 4, Layers: 1, Models: []fulmardeal.EngineModel{{Name: "m"}}}})
+		c.Routes = append(c.Routes, fulmardeal.Route{
+			Name: "verse", Host: "h", Prefix: "/verse/", Kind: fulmardeal.KindStream, Timeout: 5 * time.Second, Objective: 300 * time.Millisecond,
+			Shares: []fulmardeal.Share{{Service: "llm", Weight: 1}}, Attempts: 2, Resumable: true,
+		})
+		w.configure(c)
+		address := w.endpoint("i-1", "llm", "a", func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body) // the server notices a closed connection only afterwards
+			select {
+			case <-r.Context().Done():
+				cancelled <- time.Now()
+			case <-time.After(5 * time.Second):
+			}
+		})
+		w.register(fulmardeal.Registration{ID: "i-1", Service: "llm", Address: address, DataCentre: "a", Slots: 4, Engine: true, Spans: []fulmardeal.Span{{To: 1, Version: 1}}})
+	})
+	published := make(chan time.Time, 1)
+	time.AfterFunc(300*time.Millisecond, func() {
+		published <- time.Now()
+		w.store.put("operator", fulmardeal.Change{Key: "version/m", Naming: &fulmardeal.Publication{Model: "m", Version: 2}})
+	})
+	a := w.call("POST", "/verse/", func(r *http.Request) { r.Header.Set("X-Fulmardeal-Deadline-Ms", "4500") })
+	select {
+	case at := <-cancelled:
+		if d := at.Sub(<-published); d > w.bounds.VersionSwitch-200*time.Millisecond {
+			t.Errorf("withdrawn after %v with status %d, want well before %v", d, a.status, w.bounds.VersionSwitch)
+		}
+	case <-time.After(2 * time.Second):
+		t.Errorf("request is still at the engine; status %d", a.status)
+	}
+}
+
+// A stream whose events have no ids can't be resumed: the events would come twice.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	w := startGateway(t, func(w *testGateway) {
+		for _, id := range []string{"i-1", "i-2"} {
+			w.endpoint(id, "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body)
+				for i := 1; i <= 9; i++ {
+					if i == 5 && r.RequestURI == "/stream/silent" {
+						time.Sleep(1300 * time.Millisecond)
+					}
+					if i == 5 && r.RequestURI == "/stream/broken" {
+						panic(http.ErrAbortHandler)
+					}
+					fmt.Fprintf(rw, "data: e%d\n\n", i)
+					_ = http.NewResponseController(rw).Flush()
+				}
+			})
+		}
+	})
+	for _, path := range []string{"/stream/silent", "/stream/broken"} {
+		a := w.call("POST", path, nil)
+		if strings.Count(a.body, "data: e1\n") != 1 || w.runs(a.id) != 1 || (a.err == nil) != strings.Contains(a.body, "e9") {
+			t.Errorf("%s: %d runs, %v: %q", path, w.runs(a.id), a.err, a.body)
+		}
+	}
+}
+
+// When a caller disconnects, both endpoints that have its request must stop.
+func TestCallerDisconnectsFromTwoAttempts(t *testing.T) {
+	stopped := make(chan time.Time, 2)
+	w := startGateway(t, func(w *testGateway) {
+		for _, id := range []string{"i-1", "i-2"} {
+			w.endpoint(id, "shop", "a", func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body)
+				if d, _ := strconv.Atoi(r.Header.Get("X-Fulmardeal-Deadline-Ms")); w.runs(r.Header.Get("X-Fulmardeal-Attempt-Id")) == 2 && d > 650 {
+					t.Errorf("the second attempt was given %d ms", d)
+				}
+				<-r.Context().Done()
+				stopped <- time.Now()
+			})
+		}
+	})
+	var left time.Time
+	a := w.call("GET", "/read/", func(r *http.Request) { // its timeout is 1 s, its second attempt begins after 0.4 s
+		r.Header.Set("X-Fulmardeal-Deadline-Ms", "1200")
+		left = time.Now().Add(600 * time.Millisecond)
+		ctx, cancel := context.WithDeadline(r.Context(), left)
+		t.Cleanup(cancel)
+		*r = *r.WithContext(ctx)
+	})
+	for range 2 {
+		select {
+		case at := <-stopped:
+			if d := at.Sub(left); d < 0 || d > 300*time.Millisecond {
+				t.Errorf("an endpoint stopped %v after the caller disconnected", d)
+			}
+		case <-time.After(2 * time.Second):
+			t.Errorf("still running 2 s after the caller disconnected; %d runs", w.runs(a.id))
+		}
+	}
+}
