cli/command: SIGHUP doesn't end a process that is starting

gateway and loader installed the handler of SIGHUP just before they ran, after they had read their settings and opened their listeners. The platform may send SIGHUP at any time; until then the default action ended the process.

The signals are now watched before anything else, and until the resources are released. SIGTERM while starting is kept for the graceful shutdown.

--- a/internal/cli/command/native.go
+++ b/internal/cli/command/native.go
@@ -43,18 +43,20 @@
 
 // Execute runs the entry until SIGTERM or SIGINT.
 func (c *gatewayCommand) Execute([]string) error {
+	log, _, closeLog := logbook.New(c.env.out, c.env.level())
+	defer closeLog()
+	ctx, stop := watchSignals(log)
+	defer stop()
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return err
 	}
-	log, _, closeLog := logbook.New(c.env.out, c.env.level())
-	defer closeLog()
 	run, cleanup, err := newEntry(s, log, c.Metrics, c.env.err)
 	if err != nil {
 		return err
 	}
 	defer cleanup()
-	return runUntilTerminated(log, run)
+	return run(ctx)
 }
 
 // newEntry creates an entry. It returns a function that runs the entry, and a
@@ -77,18 +79,20 @@
 
 // Execute runs the agent until SIGTERM or SIGINT.
 func (c *loaderCommand) Execute([]string) error {
+	log, _, closeLog := logbook.New(c.env.out, c.env.level())
+	defer closeLog()
+	ctx, stop := watchSignals(log)
+	defer stop()
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return err
 	}
-	log, _, closeLog := logbook.New(c.env.out, c.env.level())
-	defer closeLog()
 	run, cleanup, err := newAgent(s, log, c.Metrics, c.env.err)
 	if err != nil {
 		return err
 	}
 	defer cleanup()
-	return runUntilTerminated(log, run)
+	return run(ctx)
 }
 
 // newAgent creates an agent. It returns a function that runs the agent, and a
@@ -108,18 +112,21 @@
 	return agent.Run, func() { cleanup(); closeEngine(); closeStore() }, nil
 }
 
-// runUntilTerminated runs a process until SIGTERM or SIGINT. SIGHUP is only
-// logged.
-func runUntilTerminated(log *slog.Logger, run func(ctx context.Context) error) error {
+// watchSignals returns a context that ends at SIGTERM or SIGINT; further ones have no
+// effect. SIGHUP is only logged. Unless it is watched, SIGHUP ends the process, so that
+// commands call watchSignals before anything that may take time.
+func watchSignals(log *slog.Logger) (context.Context, func()) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
 	go func() {
 		for range reloads {
 			log.Info("SIGHUP ignored", "change", "none: settings are read only when the process starts")
 		}
 	}()
-	return run(ctx)
+	return ctx, func() {
+		signal.Stop(reloads)
+		close(reloads)
+		stop()
+	}
 }
