--- a/internal/process/gateway/kept_test.go
+++ b/internal/process/gateway/kept_test.go
@@ -16,7 +16,7 @@
 
 // Callers use a kept connection until it is closed or an answer says Connection: close.
 // A request that was passed on must be answered, also when it is sent just when a
-// shutdown closes the connections.
+// shutdown closes the connections, and while the configuration changes.
 func TestKeptConnectionsAtShutdown(t *testing.T) {
 	t.Parallel()
 	const callers = 200
@@ -73,10 +73,24 @@
 	for range callers {
 		<-begun
 	}
+	ended := make(chan struct{})
+	var changes sync.WaitGroup
+	changes.Go(func() {
+		for version := int64(2); ; version++ {
+			select {
+			case <-ended:
+				return
+			case <-time.After(20 * time.Millisecond):
+				w.configure(catalogue(version))
+			}
+		}
+	})
 	start = time.Now()
 	w.stop()
 	close(stopped)
 	running.Wait()
+	close(ended)
+	changes.Wait()
 	t.Logf("%d passed on, %d answered, %d cut", passed.Load(), answered.Load(), cut.Load())
 }
 
