traffic/dispatch: an endpoint that returns still has its requests in progress

An endpoint that left an entry's table for a moment, because a configuration removed its service and the next one put it back, or because its registration lapsed and returned, got as many further requests as it has slots, while those that it had before were still in progress. Callers would see late first events and refusals by a full endpoint.

Cause: Refresh dropped the Endpoint, or the group with its queue, although reservations and waiting requests still used them, and made a new one that knew of no request. Requests in progress were never cut by this: a reservation holds its own Endpoint.

Evidence: TestReturningEndpointKeepsRequests failed in all 9 cases: "8 more requests were sent to the endpoint when 0 of 8 had ended". The effect on callers is inferred, not measured.

Changed: a group remembers endpoints that are absent while they have requests in progress, and the table remembers removed groups while requests use them. A waiting request knows its group; otherwise one that had been refused stayed in the queue of a removed group, and took a slot when the group returned, which TestWaitForReturningEndpoint showed on the way.

Why it works: the same id and address is the same Endpoint for as long as any request counts on it. What a request in the queue of a removed service gets is as before: a slot that becomes free within its wait, or a refusal after it.

--- a/internal/traffic/dispatch/queue.go
+++ b/internal/traffic/dispatch/queue.go
@@ -12,6 +12,7 @@
 
 // waiter is a queued request.
 type waiter struct {
+	group       *group
 	request     *Request
 	firstSent   time.Time          // when its caller first sent it, before any retries
 	latestStart time.Time          // latest time at which an endpoint can start it and still respond on time
--- a/internal/traffic/dispatch/reservation.go
+++ b/internal/traffic/dispatch/reservation.go
@@ -92,9 +92,6 @@
 	r.endpoint.released = append(r.endpoint.released, now)
 	r.endpoint.recordOutcome(now, outcome)
 	g := r.group
-	if g == nil {
-		return
-	}
 	g.released++
 	if d := now.Sub(g.windowStart); d >= releaseRateWindow {
 		g.releaseRate = float64(g.released) / d.Seconds()
--- a/internal/traffic/dispatch/table.go
+++ b/internal/traffic/dispatch/table.go
@@ -41,6 +41,7 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	services map[string]*group
+	removed  map[string]*group // services that the configuration has removed while requests use them
 	view     *catalogue.View
 	peers    map[string]*peer   // by name of the other entry
 	notices  map[string]*notice // by id of the endpoint
@@ -55,6 +56,7 @@
 // group holds the endpoints of one service and the queue for them.
 type group struct {
 	endpoints   []*Endpoint
+	absent      []*Endpoint // endpoints that have left the registrations with requests in progress
 	queue       requestQueue
 	released    int // slots released in the current window
 	windowStart time.Time
@@ -67,6 +69,7 @@
 		options:   o,
 		rng:       rand.New(rand.NewPCG(o.Seed, 5)),
 		services:  make(map[string]*group),
+		removed:   make(map[string]*group),
 		view:      &catalogue.View{},
 		peers:     make(map[string]*peer),
 		notices:   make(map[string]*notice),
@@ -75,7 +78,8 @@
 }
 
 // Refresh applies the current registrations and the configuration set by
-// operators.
+// operators. Services and endpoints that are gone from them are remembered as long as
+// requests use them: if they return, the requests still occupy their slots.
 func (t *Table) Refresh(now time.Time, registrations []fulmardeal.Registration, v *catalogue.View) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -87,10 +91,15 @@
 	next := make(map[string]*group, len(c.Services))
 	for i := range c.Services {
 		name := c.Services[i].Name
-		next[name] = &group{}
-		if old := t.services[name]; old != nil {
-			next[name] = old
+		switch {
+		case t.services[name] != nil:
+			next[name] = t.services[name]
+		case t.removed[name] != nil:
+			next[name] = t.removed[name]
+		default:
+			next[name] = &group{}
 		}
+		delete(t.removed, name)
 	}
 	t.expireNotices(now)
 	refreshed := make(map[string][]*Endpoint, len(next))
@@ -100,20 +109,62 @@
 		}
 	}
 	for name, g := range next {
-		g.endpoints = refreshed[name]
+		g.setEndpoints(refreshed[name])
 		t.assignQueued(now, g)
 	}
+	for name, g := range t.services {
+		if next[name] == nil {
+			t.removed[name] = g
+		}
+	}
+	for name, g := range t.removed {
+		if !g.inUse() {
+			delete(t.removed, name)
+		}
+	}
 	t.services = next
 }
 
+// inUse reports whether requests are in progress at endpoints of the group, or wait for
+// one.
+func (g *group) inUse() bool {
+	isBusy := func(e *Endpoint) bool { return e.inProgress > 0 }
+	return len(g.queue.waiters) > 0 || slices.ContainsFunc(g.endpoints, isBusy) || slices.ContainsFunc(g.absent, isBusy)
+}
+
+// setEndpoints replaces the endpoints. Those that are no longer listed are kept as absent
+// while they have requests in progress.
+func (g *group) setEndpoints(endpoints []*Endpoint) {
+	listed := make(map[*Endpoint]bool, len(endpoints))
+	for _, e := range endpoints {
+		listed[e] = true
+	}
+	g.absent = slices.DeleteFunc(append(g.absent, g.endpoints...), func(e *Endpoint) bool {
+		return e.inProgress == 0 || listed[e]
+	})
+	g.endpoints = endpoints
+}
+
+// find returns the endpoint with an id and address, absent or not, or nil if it is
+// unknown.
+func (g *group) find(id, address string) *Endpoint {
+	for _, list := range [][]*Endpoint{g.endpoints, g.absent} {
+		for _, e := range list {
+			if e.id == id && e.address == address {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
 // endpoint returns the endpoint of a registration. A known endpoint keeps its
 // state.
 func (t *Table) endpoint(now time.Time, g *group, r fulmardeal.Registration, s *fulmardeal.Service) *Endpoint {
-	i := slices.IndexFunc(g.endpoints, func(e *Endpoint) bool { return e.id == r.ID && e.address == r.Address })
-	if i >= 0 {
-		g.endpoints[i].update(now, r, s)
-		g.endpoints[i].notice = t.noticeOf(now, &r)
-		return g.endpoints[i]
+	if e := g.find(r.ID, r.Address); e != nil {
+		e.update(now, r, s)
+		e.notice = t.noticeOf(now, &r)
+		return e
 	}
 	e := &Endpoint{id: r.ID, address: r.Address, hash: xxhash.Sum64String(r.ID), region: t.options.Regions[r.DataCentre]}
 	switch {
@@ -202,18 +253,18 @@
 	reason = RefusedFull
 	select {
 	case e := <-w.assigned:
-		return t.queuedReservation(req, e), nil
+		return t.queuedReservation(w, e), nil
 	case reason = <-w.refused:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	t.mu.Lock()
-	queued := t.services[req.Service] != nil && t.services[req.Service].queue.remove(w)
+	queued := w.group.queue.remove(w)
 	t.mu.Unlock()
 	if !queued {
 		select {
 		case e := <-w.assigned: // a slot was assigned after the wait ended, before the lock was taken
-			return t.queuedReservation(req, e), nil
+			return t.queuedReservation(w, e), nil
 		default:
 		}
 	}
@@ -256,6 +307,7 @@
 	firstSent := t.refusals.firstSentAt(req.Sent, req.Fingerprint)
 	f := t.fleetState(now, g)
 	w := newWaiter(now, req, firstSent, firstSent.Add(req.Objective-firstEventWithoutBacklog(g, req)))
+	w.group = g
 	onTime := t.countOnTime(now, req.Service, g)
 	if yieldsToOnTime(w.late(now), onTime) {
 		return nil, nil, RefusedFull
@@ -304,15 +356,12 @@
 
 // queuedReservation returns the reservation for an endpoint assigned to a
 // queued request.
-func (t *Table) queuedReservation(req *Request, e *Endpoint) *Reservation {
+func (t *Table) queuedReservation(w *waiter, e *Endpoint) *Reservation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	r := &Reservation{table: t, group: t.services[req.Service], endpoint: e, promptTokens: req.PromptTokens, weights: e.weights, sentAt: now}
-	if r.group != nil {
-		r.expected = predict(t.fleetState(now, r.group), e, req) - e.currentLag(now)
-	}
-	return r
+	expected := predict(t.fleetState(now, w.group), e, w.request) - e.currentLag(now)
+	return &Reservation{table: t, group: w.group, endpoint: e, promptTokens: w.request.PromptTokens, weights: e.weights, sentAt: now, expected: expected}
 }
 
 // refusal records a refusal and returns its error.
