--- a/internal/process/loader/loader_test.go
+++ b/internal/process/loader/loader_test.go
@@ -186,7 +186,7 @@
 
 // startAgent runs a loader without peers beside a fake engine. within is the
 // time in which all engines must have changed to a new version.
-func startAgent(t *testing.T, s *fakeOrigin, e *fakeEngine, within time.Duration) *Loader {
+func startAgent(t *testing.T, s *fakeOrigin, e Engine, within time.Duration) *Loader {
 	t.Helper()
 	return startAgentAt(t, newHost(), s, e, within)
 }
@@ -202,7 +202,7 @@
 }
 
 // startAgentAt runs a loader at a loopback address.
-func startAgentAt(t *testing.T, host string, s *fakeOrigin, e *fakeEngine, within time.Duration) *Loader {
+func startAgentAt(t *testing.T, host string, s *fakeOrigin, e Engine, within time.Duration) *Loader {
 	t.Helper()
 	settings := fulmardeal.Settings{
 		Name: "side-1", IP: host, DataCentre: "a", Region: "r", Regions: map[string]string{"a": "r"},
