cli/command: a connection whose peer has gone away ends no soak

Runs ended early with "context canceled" and without a verdict: three times of three with a plan of silent endpoints against entries that close the connections to them.

Cause: since SIGPIPE cancels a run, which it does so that a reader of the output that goes away leaves no processes, the Go runtime reports it for every write to a closed connection too, and the simulated endpoints and proxies make such writes.

Changed: SIGPIPE is caught and has no effect; a write to the output that fails cancels the run. Ruled out: ignoring SIGPIPE without a catcher, which the started processes inherit.

--- a/internal/cli/command/soak.go
+++ b/internal/cli/command/soak.go
@@ -16,10 +16,11 @@
 const soakHelp = `Runs entries and agents as separate processes against a simulation of the users'
 platform, all on loopback addresses, and injects faults: signals, connections
 that are delayed, reset, blocked in one direction or refused, endpoints that
-crash, drain or misbehave, store failures, and changes of the configuration and
-of the weights. The seed determines the faults. What callers and endpoints
-observe is checked throughout; each violation is printed with the promise and
-the request. The logs of a run with violations are kept; explain reads them.
+crash, drain, misbehave or fall silent, store failures, and changes of the
+configuration and of the weights. The seed determines the faults. What callers
+and endpoints observe is checked throughout; each violation is printed with the
+promise and the request. The logs of a run with violations are kept; explain
+reads them.
 
 Examples:
   fulmardeal soak --seed 7
@@ -61,10 +62,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), interruptSignals()...)
 	defer stop()
+	ctx, out, stopOutput := watchOutput(ctx, c.env.out)
+	defer stopOutput()
 	var reports []soak.Report
 	violations := 0
 	for i := range uint64(c.Runs) {
-		r, err := c.run(ctx, soak.Options{
+		r, err := c.run(ctx, out, soak.Options{
 			Seed: c.Seed + i, FaultTime: c.For, Faults: faults, Shape: shape, Callers: c.Callers, Starter: soak.Program{Path: self}, Out: io.Discard,
 		})
 		if err != nil {
@@ -82,41 +85,70 @@
 	return nil
 }
 
-// interruptSignals returns the signals that end a run. A reader of the output that goes
-// away (SIGPIPE) or a terminal that is closed (SIGHUP) must not end this process without
-// the processes that it has started. Under nohup a closed terminal is ignored.
+// interruptSignals returns the signals that end a run. A terminal that is closed (SIGHUP)
+// must not end this process without the processes that it has started. Under nohup a
+// closed terminal is ignored.
 func interruptSignals() []os.Signal {
-	signals := []os.Signal{os.Interrupt, syscall.SIGTERM, syscall.SIGPIPE}
+	signals := []os.Signal{os.Interrupt, syscall.SIGTERM}
 	if !signal.Ignored(syscall.SIGHUP) {
 		signals = append(signals, syscall.SIGHUP)
 	}
 	return signals
 }
 
+// watchOutput returns a context that is cancelled when a write to the returned writer
+// fails, because its reader has gone away. SIGPIPE, which would end this process without
+// the processes that it has started, has no effect meanwhile. It can't stand for a reader
+// that has gone away itself: once it is caught, writes to the connections of the simulated
+// endpoints cause it too.
+func watchOutput(ctx context.Context, out io.Writer) (context.Context, io.Writer, func()) {
+	pipe := make(chan os.Signal, 1)
+	signal.Notify(pipe, syscall.SIGPIPE)
+	ctx, cancel := context.WithCancel(ctx)
+	return ctx, &watchedWriter{writer: out, cancel: cancel}, func() {
+		signal.Stop(pipe)
+		cancel()
+	}
+}
+
+// watchedWriter cancels a context when a write fails.
+type watchedWriter struct {
+	writer io.Writer
+	cancel context.CancelFunc
+}
+
+func (w *watchedWriter) Write(p []byte) (int, error) {
+	n, err := w.writer.Write(p)
+	if err != nil {
+		w.cancel()
+	}
+	return n, err
+}
+
 // run performs one run and prints its result. The logs are kept if there are
 // violations.
-func (c *soakCommand) run(ctx context.Context, o soak.Options) (soak.Report, error) {
+func (c *soakCommand) run(ctx context.Context, out io.Writer, o soak.Options) (soak.Report, error) {
 	dir, remove, err := soak.NewLogDir(o.Seed)
 	if err != nil {
 		return soak.Report{}, err
 	}
 	o.LogDir = dir
 	if c.env.global.Verbose {
-		o.Out = c.env.out
+		o.Out = out
 	}
 	r, err := soak.Run(ctx, o)
 	if err != nil {
 		return r, err
 	}
-	fmt.Fprintf(c.env.out, "seed=%d faults=%d sent=%d served=%d refused=%d failed=%d left=%d violations=%d\n",
+	fmt.Fprintf(out, "seed=%d faults=%d sent=%d served=%d refused=%d failed=%d left=%d violations=%d\n",
 		r.Seed, r.Faults, r.Counts.Sent, r.Counts.Served, r.Counts.Refused, r.Counts.Failed, r.Counts.Cancelled, len(r.Violations))
 	if len(r.Violations) == 0 {
 		remove()
 		return r, nil
 	}
 	for _, violation := range r.Violations {
-		fmt.Fprintln(c.env.out, violation)
+		fmt.Fprintln(out, violation)
 	}
-	fmt.Fprintf(c.env.out, "logs=%s\n", dir)
+	fmt.Fprintf(out, "logs=%s\n", dir)
 	return r, nil
 }
