process/gateway: a request is withdrawn when its weights end, not at the next check

The check of the weights of waiting requests runs every 100 ms, so that a request could stay at its engine up to 100 ms into the 400 ms that its withdrawal is given. The next check is now at the end itself if that is earlier. TestWithdrawnBeforeWeightsEnd and TestWithdrawnIfSupersededWhileWaiting pass; neither is precise enough to fail without it.

--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -297,16 +297,26 @@
 // checkWeights withdraws the request from endpoints that have not begun to answer it and
 // whose weights may not be used any longer. Weights may be superseded while it waits.
 func (c *call) checkWeights(now time.Time) {
+	next := weightsCheckInterval
+	waiting := false
 	for _, a := range c.attempts {
 		if a.begun.Load() {
 			continue
 		}
-		c.weightsTimer.Reset(weightsCheckInterval)
-		if by := a.reservation.StartBy(); !by.IsZero() && !now.Before(by) {
+		waiting = true
+		by := a.reservation.StartBy()
+		switch {
+		case by.IsZero():
+		case now.Before(by):
+			next = min(next, by.Sub(now))
+		default:
 			c.log.Info("request withdrawn: the endpoint's weights may not be used any longer", "endpoint", a.reservation.Endpoint().ID(), "weights", a.reservation.Weights())
 			a.withdraw()
 		}
 	}
+	if waiting {
+		c.weightsTimer.Reset(next)
+	}
 }
 
 // apply applies an update and reports whether the request has ended.
