process/gateway: two tests of silences leave a busy host its time

TestSilentEndpointEndsNoAnswer failed for its review at a load above 50: silences of 0.7 s under a route's timeout of 1 s leave 0.3 s (504 "time is up").

The routes of both have longer timeouts now; what an entry takes for a silence doesn't depend on them. The slow callers stop reading for 2 s in place of 1.3 s and have small buffers.

--- a/internal/process/gateway/attempt_test.go
+++ b/internal/process/gateway/attempt_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -76,10 +77,23 @@
 
 // The time in which a caller takes no bytes is not its endpoint's silence.
 func TestSlowCallerIsNoSilence(t *testing.T) {
-	const n, size = 1500, 8 << 10 // more bytes than the connections buffer
+	const n, size = 1500, 8 << 10 // more bytes than the entry's connection to a caller buffers
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, address)
+		if err == nil {
+			err = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+		}
+		return conn, err
+	}}
+	defer transport.CloseIdleConnections()
 	var log syncBuffer
 	w := startGateway(t, func(w *testGateway) {
 		w.log = slog.NewTextHandler(&log, nil)
+		c := catalogue(2)
+		for i := range c.Routes {
+			c.Routes[i].Timeout = 30 * time.Second // the bytes take long on a busy host
+		}
+		w.configure(c)
 		for _, id := range []string{"i-1", "i-2"} {
 			w.endpoint(id, "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
 				after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -90,7 +104,7 @@
 		}
 	})
 	var calls sync.WaitGroup
-	for i := range 4 {
+	for i := range 8 {
 		r, err := http.NewRequest("POST", "http://"+w.address+"/stream/", strings.NewReader("body"))
 		if err != nil {
 			t.Fatal(err)
@@ -98,16 +112,16 @@
 		id := fmt.Sprintf("slow-%d", i)
 		r.Host = "h"
 		r.Header.Set("X-Fulmardeal-Attempt-Id", id)
-		r.Header.Set("X-Fulmardeal-Deadline-Ms", "3000")
+		r.Header.Set("X-Fulmardeal-Deadline-Ms", "30000")
 		r.Header.Set("Authorization", "Token k1")
 		calls.Go(func() {
-			a, err := http.DefaultTransport.RoundTrip(r)
+			a, err := transport.RoundTrip(r)
 			if err != nil {
 				t.Error(err)
 				return
 			}
 			defer a.Body.Close()
-			time.Sleep(1300 * time.Millisecond)
+			time.Sleep(2 * time.Second)
 			body, err := io.Copy(io.Discard, a.Body)
 			if err != nil || body < n*size || w.runs(id) != 1 {
 				t.Errorf("%d bytes, %v, %d runs; want one run", body, err, w.runs(id))
--- a/internal/process/gateway/silence_test.go
+++ b/internal/process/gateway/silence_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"fulmardeal"
 	"fulmardeal/internal/proof/script"
 )
 
@@ -110,6 +111,16 @@
 	return b.String()
 }
 
+// catalogue returns a configuration whose timeouts leave room for a busy host. What an
+// entry takes for a silence doesn't depend on them.
+func (s silence) catalogue(version int64) fulmardeal.Catalogue {
+	c := catalogue(version)
+	for i := range c.Routes {
+		c.Routes[i].Timeout = 10 * time.Second
+	}
+	return c
+}
+
 func (s silence) run(t *testing.T) {
 	w := startGateway(t, func(w *testGateway) {
 		ids := []string{"i-1", "i-2"}
@@ -119,6 +130,7 @@
 		case "unpaid":
 			w.bounds.RetryRatio, w.bounds.RetryExtra = 0, 1
 		}
+		w.configure(s.catalogue(2))
 		for _, id := range ids {
 			w.endpoint(id, "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
 				_, _ = io.ReadAll(r.Body)
@@ -133,7 +145,7 @@
 	var calls sync.WaitGroup
 	for range silentCalls {
 		calls.Go(func() {
-			a := w.call("POST", s.path, func(r *http.Request) { r.Header.Set("X-Fulmardeal-Deadline-Ms", "3000") })
+			a := w.call("POST", s.path, func(r *http.Request) { r.Header.Set("X-Fulmardeal-Deadline-Ms", "10000") })
 			if a.err != nil || a.status != http.StatusOK || a.body != s.want() {
 				t.Errorf("status %d, %v, %d runs: %q", a.status, a.err, w.runs(a.id), a.body)
 			}
@@ -143,7 +155,7 @@
 		})
 	}
 	time.Sleep(100 * time.Millisecond)
-	w.configure(catalogue(2))
+	w.configure(s.catalogue(3))
 	calls.Wait()
 }
 
