traffic/dispatch: an engine that goes on after a silence is suspect no longer

Callers were refused, or served late, after all engines had been silent for a moment: the entries avoided engines that answered again.

Cause: a silence makes the endpoint suspect as a failure does, and each one in a row doubles the time. An engine that pauses is silent to all its streams at once, so four of an entry's streams are enough for 2.4 s and five for 4 s, from the time at which the silence was noticed. Nothing ended that when the streams went on. As soon as one engine's time was over, it counted as the healthy one, and all requests queued for it while the others had free slots.

Changed: the end of the suspicion from silences is kept apart from that from failures. An event of a request that was silent, or its response, ends the first, and queued requests get the free slots. Events of requests that weren't silent end nothing, because an engine may leave only some of its requests unanswered; neither does the end of a request whose caller got the answer of another attempt. Failures count as before.

--- a/internal/traffic/dispatch/attempt_test.go
+++ b/internal/traffic/dispatch/attempt_test.go
@@ -117,6 +117,10 @@
 	case "gone": // ID...
 		s.registrations = slices.DeleteFunc(s.registrations, func(r fulmardeal.Registration) bool { return slices.Contains(words[1:], r.ID) })
 		s.refresh()
+	case "restart": // ID, which the endpoint keeps
+		i := slices.IndexFunc(s.registrations, func(r fulmardeal.Registration) bool { return r.ID == words[1] })
+		s.registrations[i].Born = time.Now()
+		s.refresh()
 	case "evacuate": // DATACENTRE
 		s.apply(fulmardeal.Change{Key: "evacuate/" + words[1], Evacuation: words[1]})
 	case "return": // DATACENTRE
@@ -273,7 +277,7 @@
 	for _, g := range s.table.services {
 		for _, e := range g.endpoints {
 			if e.id == words[1] {
-				got := fmt.Sprintf("running=%d prompts=%d suspect=%v", e.inProgress, e.pendingTokens, now.Before(e.suspectUntil))
+				got := fmt.Sprintf("running=%d prompts=%d suspect=%v", e.inProgress, e.pendingTokens, e.isSuspect(now))
 				return compare(got, strings.Join(words[2:], " "))
 			}
 		}
--- a/internal/traffic/dispatch/endpoint.go
+++ b/internal/traffic/dispatch/endpoint.go
@@ -79,9 +79,11 @@
 	weights      int64     // version of the weights that the endpoint holds completely; 0 if none
 	statusAt     time.Time // when its agent last reported its status
 	loadingUntil time.Time // estimated end of loading new weights
-	// suspectUntil is the time until which the endpoint is suspect, because of
-	// failures. A suspect endpoint is used only when all endpoints are suspect.
+	// suspectUntil and silentUntil are the times until which the endpoint is suspect,
+	// because of failures and because of silences. A suspect endpoint is used only when
+	// all endpoints are suspect.
 	suspectUntil        time.Time
+	silentUntil         time.Time
 	consecutiveFailures int
 	failureRate         float64       // moving average of the fraction of failed requests
 	lag                 time.Duration // moving average of how much later than predicted first events arrive
@@ -121,7 +123,8 @@
 func (e *Endpoint) update(now time.Time, r fulmardeal.Registration, s *fulmardeal.Service) {
 	restarted := !e.registration.Born.Equal(r.Born)
 	if restarted {
-		e.statusAt, e.loadingUntil, e.suspectUntil, e.consecutiveFailures, e.failureRate = time.Time{}, time.Time{}, time.Time{}, 0, 0
+		e.statusAt, e.loadingUntil, e.suspectUntil, e.silentUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+		e.consecutiveFailures, e.failureRate = 0, 0
 	}
 	if e.registration.Sequence != r.Sequence {
 		e.mismatchUntil = time.Time{}
@@ -168,12 +171,33 @@
 	case OutcomeMismatch:
 		e.mismatchUntil = now.Add(mismatchBackoff)
 	case OutcomeFailed:
-		e.suspectUntil = now.Add(min(suspectMin<<min(e.consecutiveFailures, 8), suspectMax))
-		e.consecutiveFailures++
-		e.failureRate += failureWeight * (1 - e.failureRate)
+		e.suspectUntil = now.Add(e.countFailure())
 	}
 }
 
+// recordSilence updates the endpoint's state with a request that hears nothing from it.
+func (e *Endpoint) recordSilence(now time.Time) { e.silentUntil = now.Add(e.countFailure()) }
+
+// countFailure counts a failure or a silence, and returns for how long the endpoint is
+// suspect because of it.
+func (e *Endpoint) countFailure() time.Duration {
+	d := min(suspectMin<<min(e.consecutiveFailures, 8), suspectMax)
+	e.consecutiveFailures++
+	e.failureRate += failureWeight * (1 - e.failureRate)
+	return d
+}
+
+// suspectEnd returns the time until which the endpoint is suspect.
+func (e *Endpoint) suspectEnd() time.Time {
+	if e.silentUntil.After(e.suspectUntil) {
+		return e.silentUntil
+	}
+	return e.suspectUntil
+}
+
+// isSuspect reports whether the endpoint is suspect.
+func (e *Endpoint) isSuspect(now time.Time) bool { return now.Before(e.suspectEnd()) }
+
 // coldRateAllows reports whether this entry may send a cold endpoint another
 // request now. The endpoint's cold rate is divided evenly among the entries.
 func (e *Endpoint) coldRateAllows(now time.Time, entries int) bool {
--- a/internal/traffic/dispatch/replay_test.go
+++ b/internal/traffic/dispatch/replay_test.go
@@ -19,6 +19,7 @@
 	"fulmardeal"
 	"fulmardeal/internal/fleet/catalogue"
 	"fulmardeal/internal/fleet/feed"
+	"fulmardeal/internal/traffic/budget"
 )
 
 // loadPattern is a load pattern in testdata/loads. The field names are the keys
@@ -41,6 +42,10 @@
 	Leaving   float64 // share of callers that leave after half their objective
 	Part      float64 // share of the capacity's worth that must be served
 
+	Silent   int     // engines that are silent for a while and then go on
+	SilentAt float64 // time at which they fall silent, in seconds from the start of the replay
+	Silence  float64 // how long they are silent, in seconds
+
 	Regions []float64 // share of the requests of each region; entries and engines are spread evenly
 	Reports [2]int    // ms between load reports inside a region and between regions; 20 if not given
 	Engine  engineSpeed
@@ -162,6 +167,7 @@
 		if l.Added > 0 && s >= l.AddedAt {
 			engines += float64(l.Added)
 		}
+		engines -= float64(l.Silent) * max(0, min(s+1, l.SilentAt+l.Silence)-max(s, l.SilentAt))
 		n := l.arrivalRate(s)
 		offered += n
 		served += min(n, engines*l.engineCapacity())
@@ -178,6 +184,7 @@
 	ctx           context.Context
 	pendingTokens int
 	tokensWritten int
+	events        chan<- struct{} // told of each event, unless nil; its buffer holds one
 }
 
 // simulatedEngine works in passes, as the platform's engines do.
@@ -185,14 +192,19 @@
 	spec     *fulmardeal.EngineSpec
 	slowdown float64
 
-	mu      sync.Mutex
-	waiting []*simulatedRequest
-	running []*simulatedRequest
+	mu          sync.Mutex
+	waiting     []*simulatedRequest
+	running     []*simulatedRequest
+	silentUntil time.Time     // until then it does nothing
+	idle        time.Duration // from the end of its silence to the first request that it got afterwards
 }
 
 func (e *simulatedEngine) add(r *simulatedRequest) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if now := time.Now(); e.idle == 0 && !e.silentUntil.IsZero() && now.After(e.silentUntil) {
+		e.idle = now.Sub(e.silentUntil)
+	}
 	e.waiting = append(e.waiting, r)
 }
 
@@ -204,6 +216,10 @@
 			took = time.Millisecond
 		}
 		time.Sleep(time.Duration(float64(took) * e.slowdown))
+		e.mu.Lock()
+		silence := time.Until(e.silentUntil)
+		e.mu.Unlock()
+		time.Sleep(silence)
 		e.publish()
 	}
 }
@@ -247,6 +263,12 @@
 				close(r.firstEvent)
 			}
 		}
+		if r.events != nil {
+			select {
+			case r.events <- struct{}{}:
+			default:
+			}
+		}
 		if r.tokensWritten >= r.output {
 			close(r.done)
 			continue
@@ -317,6 +339,11 @@
 	offered        float64 // worth of all requests whose callers do not leave early
 	refused        int
 	slowestRefusal time.Duration // longest time to a refusal
+	expired        int           // requests that were not completed by their deadline
+	broken         int           // streams that began and were not completed
+	failed         int           // requests that got neither a response nor a refusal
+	budgets        []*budget.RetryBudget
+	abandons       bool // entries abandon an attempt whose engine is silent
 	rng            *rand.Rand
 	started        time.Time
 
@@ -429,9 +456,11 @@
 	}
 }
 
+// lateWorth is the share of the worth that a late response earns in the deployments.
+const lateWorth = 0.25
+
 // awaitResponse waits for a response and adds its worth.
 func (sim *simulation) awaitResponse(ctx context.Context, r *simulatedRequest, k requestKind, objective time.Time, first func()) {
-	const lateWorth = 0.25 // share of the worth that a late response earns in the deployments
 	select {
 	case <-r.firstEvent:
 	case <-ctx.Done():
@@ -473,7 +502,7 @@
 		var entries []policy
 		for i := range l.Entries {
 			switch name {
-			case "ours":
+			case "ours", "second", "abandon":
 				regions := make(map[string]string)
 				for j := range max(1, len(l.Regions)) {
 					regions[l.region(j)] = l.region(j)
@@ -481,6 +510,7 @@
 				table := New(Options{DataCentre: l.region(i), Region: l.region(i), Regions: regions, Seed: uint64(i)})
 				table.SetReportIntervals(l.reportIntervals())
 				sim.tables = append(sim.tables, table)
+				sim.budgets = append(sim.budgets, budget.NewRetryBudget(silenceRetryRatio, silenceRetryBurst))
 				entries = append(entries, tablePolicy{table: table})
 			default:
 				entries = append(entries, &baselinePolicy{
@@ -490,6 +520,10 @@
 		}
 		sim.refresh()
 		sim.background.Go(func() { sim.exchangeReports(ctx) })
+		if l.Silent > 0 {
+			sim.abandons = name == "abandon"
+			time.AfterFunc(time.Duration(l.SilentAt*float64(time.Second)), sim.silence)
+		}
 		if l.Added > 0 {
 			sim.background.Go(func() {
 				time.Sleep(time.Duration(l.AddedAt * float64(time.Second)))
@@ -513,6 +547,10 @@
 			sim.mu.Unlock()
 			region := l.drawRegion(sim.rng)
 			callers.Go(func() {
+				if l.Silent > 0 {
+					sim.runSilenceCaller(ctx, k, prompt, output, region, fingerprint)
+					return
+				}
 				sim.runCaller(ctx, entries, k, prompt, output, leavesEarly, retriesAtOnce, region, fingerprint)
 			})
 		}
--- a/internal/traffic/dispatch/reservation.go
+++ b/internal/traffic/dispatch/reservation.go
@@ -13,6 +13,7 @@
 	sentAt       time.Time
 	expected     time.Duration // predicted time to the first event
 	started      bool          // the first event has arrived, or the request has ended
+	silent       bool          // a silence has been recorded, and no event has arrived since
 	released     bool
 }
 
@@ -46,15 +47,22 @@
 	return end.Add(-startMargin)
 }
 
-// RecordFirstEvent records that the first event of the response has arrived.
+// RecordFirstEvent records that the first event of the response has arrived, or a further
+// one, which only shows that the endpoint isn't silent.
 func (r *Reservation) RecordFirstEvent() {
 	r.table.mu.Lock()
 	defer r.table.mu.Unlock()
+	now := time.Now()
 	if !r.started {
-		now := time.Now()
 		r.endpoint.recordFirstEvent(now, now.Sub(r.sentAt), r.expected)
 	}
 	r.markStarted()
+	if r.silent && !r.released {
+		r.endSilence()
+		if r.group != nil {
+			r.table.assignQueued(now, r.group)
+		}
+	}
 }
 
 // RecordSilence records that the endpoint has sent nothing for longer than expected. The
@@ -63,7 +71,18 @@
 	r.table.mu.Lock()
 	defer r.table.mu.Unlock()
 	if !r.released {
-		r.endpoint.recordOutcome(time.Now(), OutcomeFailed)
+		r.silent = true
+		r.endpoint.recordSilence(time.Now())
+	}
+}
+
+// endSilence ends the suspicion against an endpoint that was silent and has gone on.
+// Designed for an engine that is silent for a moment: it keeps its streams, each of which
+// doubles the time of the suspicion, and would get no others when it has gone on.
+func (r *Reservation) endSilence() {
+	if r.silent {
+		r.silent = false
+		r.endpoint.silentUntil = time.Time{}
 	}
 }
 
@@ -88,6 +107,9 @@
 	}
 	r.released = true
 	r.markStarted()
+	if outcome == OutcomeServed {
+		r.endSilence()
+	}
 	r.endpoint.inProgress--
 	r.endpoint.released = append(r.endpoint.released, now)
 	r.endpoint.recordOutcome(now, outcome)
--- a/internal/traffic/dispatch/selection.go
+++ b/internal/traffic/dispatch/selection.go
@@ -256,7 +256,7 @@
 			continue
 		}
 		found = true
-		if f.now.Before(e.suspectUntil) || !hasCapacity(f, e, req, rng) {
+		if e.isSuspect(f.now) || !hasCapacity(f, e, req, rng) {
 			continue
 		}
 		predicted[i] = predict(f, e, req)
@@ -288,10 +288,10 @@
 		if !eligible(f, e, req) || e.isPaused(f.now) {
 			continue
 		}
-		if !f.now.Before(e.suspectUntil) {
+		if !e.isSuspect(f.now) {
 			return nil // an endpoint is healthy and only lacks capacity
 		}
-		if hasCapacity(f, e, req, rng) && (best == nil || e.suspectUntil.Before(best.suspectUntil)) {
+		if hasCapacity(f, e, req, rng) && (best == nil || e.suspectEnd().Before(best.suspectEnd())) {
 			best = e
 		}
 	}
--- a/internal/traffic/dispatch/table.go
+++ b/internal/traffic/dispatch/table.go
@@ -395,7 +395,7 @@
 		for _, e := range g.endpoints {
 			out = append(out, EndpointState{
 				ID: e.ID(), Service: name, Address: e.Address(), Running: e.inProgress, PeerRunning: f.peerLoads[e.hash].inProgress,
-				Weights: e.weights, FailureRate: e.failureRate, Suspect: now.Before(e.suspectUntil),
+				Weights: e.weights, FailureRate: e.failureRate, Suspect: e.isSuspect(now),
 			})
 		}
 	}
