proof/soak, standin/site: sound endpoints that fall silent and go on

The soak could not play a sound endpoint that sends nothing for a second or so: all its silences were faults that excuse what the entries do. So it did not see that they gave requests up beside one.

Two kinds of faults: silent, of one endpoint, and silent-all, of all without another fault at once; several at once come as a series of the first. They last 0.8 to 2.5 s, a longer one in a plan is rejected, and they are no disturbance: all guarantees hold. The endpoint's process is silent on all its connections, reads late and sends late, and loses nothing. Events and bodies are now sent in two writes, the header of a stream at once, and the end of a stream follows its last event after the time between two events, so that a silence begins at each of these points; TestSilenceLosesNothing checks that it does.

A request counts as received when its bytes arrived. Counting from the late read, what an entry sent in time would seem to break bounds: TestSilenceKeepsTimeOfArrival then fails with a request that was received 0.4 s after it was sent.

Ruled out: holding bytes back in the proxy. An entry can't tell it from the silent process, and only the endpoint knows when the bytes of a request arrived.

--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -257,6 +257,9 @@
 		}
 		for i, f := range a {
 			seen[f.Kind] = true
+			if shortest, longest := f.Kind.durations(); f.For < shortest || f.For > longest {
+				t.Errorf("seed %d: %v, want a length of %v to %v", seed, f, shortest, longest)
+			}
 			if f.Target < 0 || f.Target >= 7 || f.For < minDuration || i > 0 && f.At < a[i-1].At {
 				t.Errorf("seed %d: %v", seed, f)
 			}
--- a/internal/proof/soak/inject.go
+++ b/internal/proof/soak/inject.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"sync"
 	"syscall"
 	"time"
 
@@ -28,6 +29,12 @@
 		for i := range d.fleet.members {
 			go d.injectMember(Fault{Kind: FaultKill, For: fault.For, Target: i})
 		}
+	case FaultSilentAll:
+		var silences sync.WaitGroup
+		for i := range d.endpoints {
+			silences.Go(func() { d.injectEndpoint(Fault{Kind: FaultSilent, For: fault.For, Target: i}) })
+		}
+		silences.Wait()
 	default:
 		d.injectEndpoint(fault)
 	}
@@ -138,7 +145,7 @@
 	}()
 	e, proxy := d.endpoints[f.Target], d.endpointProxies[f.Target]
 	reg, _ := e.Registration()
-	switch f.Kind { // these two leave all guarantees in force
+	switch f.Kind { // these leave all guarantees in force
 	case FaultLeave:
 		e.Leave()
 		time.Sleep(boundDrain + drainExtra)
@@ -147,6 +154,10 @@
 		time.Sleep(f.For)
 		e.SetFault(site.FaultNone)
 		return
+	case FaultSilent:
+		e.Silence(f.For)
+		time.Sleep(f.For)
+		return
 	}
 	end := d.checker.Disturb(reg.Address)
 	defer end()
--- a/internal/proof/soak/plan.go
+++ b/internal/proof/soak/plan.go
@@ -43,6 +43,8 @@
 	FaultLeave          Kind = "leave"         // an endpoint says in its responses only that it leaves, and restarts
 	FaultShed           Kind = "shed"          // an endpoint refuses all requests and asks for a pause
 	FaultEndless        Kind = "endless"       // every third answer of an endpoint never ends
+	FaultSilent         Kind = "silent"        // a sound endpoint sends nothing for a while and then goes on
+	FaultSilentAll      Kind = "silent-all"    // all endpoints without another fault are silent at once
 )
 
 // targetKind is the kind of target that a fault affects.
@@ -90,6 +92,8 @@
 	{FaultLeave, targetEndpoint, 3},
 	{FaultShed, targetEndpoint, 3},
 	{FaultEndless, targetEndpoint, 2},
+	{FaultSilent, targetEndpoint, 6},
+	{FaultSilentAll, targetNothing, 2},
 }
 
 // Fault is one fault of a plan.
@@ -171,6 +175,9 @@
 		if count := s.targetCount(k.targetKind); f.Target < 0 || f.Target >= count {
 			return f, fmt.Sprintf("target %d is out of range: there are %d", f.Target, count)
 		}
+		if (f.Kind == FaultSilent || f.Kind == FaultSilentAll) && f.For > maxSilence {
+			return f, fmt.Sprintf("a sound endpoint is silent for %v at most", maxSilence)
+		}
 		return f, ""
 	}
 	return f, fmt.Sprintf("unknown fault kind %q", f.Kind)
@@ -183,8 +190,20 @@
 	maxDuration  = 4 * time.Second
 	seriesLength = 3 // faults of the same kind in a series
 	seriesOdds   = 6 // one fault in this many begins a series
+
+	// A sound endpoint may be silent for a second or so.
+	minSilence = 800 * time.Millisecond
+	maxSilence = 2500 * time.Millisecond
 )
 
+// durations returns the minimum and the maximum length of a fault.
+func (k Kind) durations() (shortest, longest time.Duration) {
+	if k == FaultSilent || k == FaultSilentAll {
+		return minSilence, maxSilence
+	}
+	return minDuration, maxDuration
+}
+
 // Shape is the size of the system under test.
 type Shape struct {
 	Entries     int
@@ -227,10 +246,11 @@
 		if random.IntN(seriesOdds) == 0 {
 			n = seriesLength
 		}
+		shortest, longest := kinds[i].kind.durations()
 		for k := range n {
 			out = append(out, Fault{
 				At:     (at + time.Duration(k)*minDuration).Round(time.Millisecond),
-				For:    (minDuration + time.Duration(random.Float64()*float64(maxDuration-minDuration))).Round(time.Millisecond),
+				For:    (shortest + time.Duration(random.Float64()*float64(longest-shortest))).Round(time.Millisecond),
 				Kind:   kinds[i].kind,
 				Target: random.IntN(s.targetCount(kinds[i].targetKind)),
 			})
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -84,6 +84,7 @@
 // one. Each start gives it a new id.
 type Endpoint struct {
 	options EndpointOptions
+	silence silence
 
 	mu         sync.Mutex
 	server     *http.Server
@@ -134,9 +135,9 @@
 	if e.options.Engine != nil {
 		h = platform.EngineHandler(e, h)
 	}
-	e.server = &http.Server{Handler: h}
+	e.server = &http.Server{Handler: h, ConnContext: withConn}
 	go func(s *http.Server) {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(silentListener{l, &e.silence}); !errors.Is(err, http.ErrServerClosed) {
 			panic(err) // nothing else uses the listener, so no other error is expected
 		}
 	}(e.server)
@@ -208,7 +209,7 @@
 	metadata, forward := platform.PeerCodec{}.ReadForwardMetadata(r.Header)
 	ctx, cancel := context.WithTimeout(r.Context(), forward.Deadline)
 	defer cancel()
-	a := ReceivedRequest{Time: time.Now(), Method: r.Method, Path: r.URL.RequestURI(), Body: body, Key: metadata.APIKey, Attempt: metadata.AttemptID, Forward: forward}
+	a := ReceivedRequest{Time: receivedAt(r), Method: r.Method, Path: r.URL.RequestURI(), Body: body, Key: metadata.APIKey, Attempt: metadata.AttemptID, Forward: forward}
 	refusal := e.acquireSlot(ctx, &a)
 	reply := fulmardeal.ResponseMetadata{AttemptID: a.Attempt, Instance: a.Endpoint.ID, WeightsVersion: a.Version, Running: -1}
 	e.addNotice(a, refusal, &reply)
@@ -329,24 +330,38 @@
 			_, _ = w.Write(body[:len(body)/2]) // the response is truncated in any case
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = w.Write(body) // fails only when the caller has disconnected
+		_ = writeInParts(w, body) // fails only when the caller has disconnected
 		return
 	}
 	platform.PeerCodec{}.SetResponseMetadata(w.Header(), reply, Signature(a.Attempt, a.Endpoint.ID, nil))
 	w.Header().Set("Content-Type", "text/event-stream")
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		return
+	}
 	first, _ := strconv.Atoi(a.Forward.LastEventID) // an empty value resumes at 0
 	for i := first + 1; i <= eventsPerStream; i++ {
 		sleep(ctx, delay)
 		if ctx.Err() != nil || fault == FaultTruncate && faulty && i > eventsPerStream/2 {
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := w.Write(Event(a.Attempt, a.Endpoint.ID, i)); err != nil {
+		if err := writeInParts(w, Event(a.Attempt, a.Endpoint.ID, i)); err != nil {
 			return
 		}
+	}
+	sleep(ctx, delay)
+}
+
+// writeInParts writes and flushes one half of the data and then the other.
+func writeInParts(w http.ResponseWriter, data []byte) error {
+	for _, part := range [][]byte{data[:len(data)/2], data[len(data)/2:]} {
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
 		if err := http.NewResponseController(w).Flush(); err != nil {
-			return
+			return err
 		}
 	}
+	return nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/standin/site/silence_test.go
@@ -0,0 +1,166 @@
+package site_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/standin/site"
+	"fulmardeal/platform"
+)
+
+const (
+	testService  = 40 * time.Millisecond
+	testSilence  = 400 * time.Millisecond
+	testDeadline = 3 * time.Second
+)
+
+// arrivals is a site.Observer that records when requests were received.
+type arrivals struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (a *arrivals) RequestReceived(r site.ReceivedRequest) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.times = append(a.times, r.Time)
+}
+func (*arrivals) RequestStarted(site.ReceivedRequest)                  {}
+func (*arrivals) NoticeSent(site.ReceivedRequest, bool, time.Duration) {}
+
+// startEndpoint starts an endpoint and returns it with its address and its arrivals.
+func startEndpoint(t *testing.T, engine bool) (*site.Endpoint, string, *arrivals) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	seen := &arrivals{}
+	opts := site.EndpointOptions{Service: "shop", DataCentre: "a", Address: address, ListenAddress: address, Slots: 4, ServiceTime: testService, Observer: seen}
+	if engine {
+		opts.Origin = site.NewOrigin(2, 100)
+		opts.Engine = &fulmardeal.EngineSpec{Layers: 2, Chunks: 2, ChunkSize: 100, Models: []fulmardeal.EngineModel{{Name: "rhyme"}}}
+	}
+	e := site.NewEndpoint(opts, true)
+	if err := e.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { e.Crash(false) })
+	return e, address, seen
+}
+
+// answer is the answer to a request, with the longest pause between two of its bytes.
+type answer struct {
+	body        string
+	pause       time.Duration
+	beforePause string // the part of the body before the pause
+}
+
+func call(ctx context.Context, t *testing.T, e *site.Endpoint, address string) answer {
+	t.Helper()
+	reg, _ := e.Registration()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/x", strings.NewReader("hello"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header = platform.Codec{}.ForwardHeader(http.Header{"X-Fulmardeal-Attempt-Id": {"c1"}}, fulmardeal.ForwardMetadata{Instance: reg.ID, Deadline: testDeadline, Priority: -1})
+	var a answer
+	var body bytes.Buffer
+	heard := time.Now()
+	hear := func() {
+		if pause := time.Since(heard); pause > a.pause {
+			a.pause, a.beforePause = pause, body.String()
+		}
+		heard = time.Now()
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	hear()
+	buf := make([]byte, 4096)
+	for err == nil {
+		var n int
+		n, err = resp.Body.Read(buf)
+		hear()
+		body.Write(buf[:n])
+	}
+	if err != io.EOF || resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d, answer ended by %v", resp.StatusCode, err)
+	}
+	a.body = body.String()
+	return a
+}
+
+// A silent endpoint must not lose anything: whatever point its answer has reached, it is
+// complete afterwards. The silences must begin at all points of a stream.
+func TestSilenceLosesNothing(t *testing.T) {
+	var calls sync.WaitGroup
+	var mu sync.Mutex
+	points := make(map[string]int) // number of silences by point of the answer
+	for i := range 2 * 13 {        // twice in the time of each event, and of the end
+		after := time.Duration(i) * testService / 2
+		for _, engine := range []bool{false, true} {
+			e, address, _ := startEndpoint(t, engine)
+			calls.Go(func() {
+				whole := call(t.Context(), t, e, address).body
+				for range 2 { // the second silence lets one more write out
+					time.AfterFunc(after, func() { e.Silence(testSilence) })
+					a := call(t.Context(), t, e, address)
+					if a.body != whole {
+						t.Errorf("silent after %v, engine %v: got %q", after, engine, a.body)
+					}
+					if engine && after < 12*testService && a.pause < testSilence-testService {
+						t.Errorf("silent after %v: the longest pause was %v", after, a.pause)
+					}
+					mu.Lock()
+					switch {
+					case !engine:
+					case a.pause >= testSilence-testService && a.beforePause == a.body:
+						points["end"]++
+					case a.beforePause == "":
+						points["first"]++
+					case strings.HasSuffix(a.beforePause, "\n\n"):
+						points["event"]++
+					default:
+						points["part"]++
+					}
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	calls.Wait()
+	for _, point := range []string{"first", "event", "part", "end"} {
+		if points[point] == 0 {
+			t.Errorf("no silence at %q: %v", point, points)
+		}
+	}
+}
+
+// A request that reaches a silent endpoint must count as received then, and not when it
+// is read: requests on their way are not late.
+func TestSilenceKeepsTimeOfArrival(t *testing.T) {
+	e, address, seen := startEndpoint(t, false)
+	call(t.Context(), t, e, address) // leaves a kept connection
+	e.Silence(testSilence)
+	sent := time.Now()
+	call(t.Context(), t, e, address)
+	if took := time.Since(sent); took < testSilence {
+		t.Errorf("answered after %v by an endpoint that is silent for %v", took, testSilence)
+	}
+	if late := seen.times[1].Sub(sent); late > testSilence/2 {
+		t.Errorf("received %v after it was sent", late)
+	}
+}
