proof/soak: a request that a sound endpoint runs is not given up

Beside any fault a 502 passed too.

New guarantee "unbroken": an answer is neither cut nor 502 before the request's time is up (0.5 s are tolerated) if the entry and the endpoint that sent the last event of it are undisturbed, or any endpoint that ran it if it has no event; and a connection doesn't end without an answer if the entry is undisturbed, since an entry can always answer itself. Faults of the store and of other endpoints and processes excuse nothing.

Two cases of TestChecker change, since what they let pass is now checked. "cut beside a fault" had a fault of another endpoint, and has one of the entry; "failed, ran before" had no fault, and has one of its endpoint: it is about a 502 that is no refusal. The first stays as "no answer beside another endpoint's fault", which is reported. Seven of the new cases fail without the check.

--- a/internal/proof/soak/answers.go
+++ b/internal/proof/soak/answers.go
@@ -37,8 +37,14 @@
 		c.lateAnswers = append(c.lateAnswers, Violation{GuaranteeAnswered, r.attempt, time.Since(c.startTime), fmt.Sprintf("no answer after %v, with a route timeout of %v: %v", took, r.route.Timeout, err)})
 		return
 	}
-	if (took > minInterruption || len(r.runs) > 0) && c.allUndisturbed(r.sent) {
+	if took <= minInterruption && len(r.runs) == 0 {
+		return
+	}
+	switch {
+	case c.allUndisturbed(r.sent):
 		c.record(GuaranteeGraceful, r.attempt, "failed after %v, although no fault was in effect: %v", took, err)
+	case took < r.route.Timeout && c.unaffected(r.sent, entryScope(r.entry)):
+		c.record(GuaranteeUnbroken, r.attempt, "failed after %v without an answer, although no fault affected the entry: %v", took, err)
 	}
 }
 
@@ -64,9 +70,14 @@
 		}
 	case resp.StatusCode != http.StatusOK:
 		c.counts.Failed++
+		c.checkUnbroken(r, nil, fmt.Sprintf("status %d", resp.StatusCode))
 	case err != nil:
 		c.counts.Failed++
-		if c.allUndisturbed(r.sent) && time.Since(r.sent) < r.route.Timeout-timeTolerance {
+		if !c.allUndisturbed(r.sent) {
+			c.checkUnbroken(r, body, fmt.Sprintf("answer truncated after %d bytes: %v", len(body), err))
+			return
+		}
+		if time.Since(r.sent) < r.route.Timeout-timeTolerance {
 			c.record(GuaranteeGraceful, r.attempt, "answer truncated after %d bytes, although no fault was in effect: %v", len(body), err)
 		}
 	default:
@@ -74,6 +85,41 @@
 	}
 }
 
+// checkUnbroken checks that a request which ends without a complete answer was not given
+// up while a sound endpoint ran it: the one that sent the last event in body, the part of
+// the answer that the caller has, or any one if there is none. Faults of the store or of
+// other endpoints are no excuse. c.mu must be held.
+func (c *Checker) checkUnbroken(r *request, body []byte, end string) {
+	took := time.Since(r.sent)
+	if took >= r.route.Timeout-timeTolerance {
+		return
+	}
+	runs := r.runs
+	if source := lastSource(body); source != "" {
+		runs = []string{source}
+	}
+	for _, id := range runs {
+		if c.unaffected(r.sent, entryScope(r.entry), r.addresses[id]) {
+			c.record(GuaranteeUnbroken, r.attempt, "given up after %v of %v, although no fault affected the entry and %s, one of %v: %s", took, r.route.Timeout, id, r.runs, end)
+			return
+		}
+	}
+}
+
+// lastSource returns the ID of the endpoint that sent the last event of a part of a
+// stream, or an empty string if there is none.
+func lastSource(body []byte) string {
+	i := bytes.LastIndex(body, []byte("data: "))
+	if i < 0 {
+		return ""
+	}
+	fields := strings.Fields(string(body[i:]))
+	if len(fields) < 3 {
+		return ""
+	}
+	return fields[2]
+}
+
 // checkAnswer checks the content of a complete answer. c.mu must be held.
 func (c *Checker) checkAnswer(r *request, signature string, body []byte) {
 	c.counts.Served++
--- a/internal/proof/soak/checker.go
+++ b/internal/proof/soak/checker.go
@@ -36,6 +36,7 @@
 	GuaranteeAnswered       Guarantee = "answered"        // requests are answered within the route's timeout
 	GuaranteeAdmitted       Guarantee = "admitted"        // valid requests are not rejected as unauthorized, forbidden or not found
 	GuaranteeGraceful       Guarantee = "graceful"        // planned stops interrupt no request, and processes exit with 0
+	GuaranteeUnbroken       Guarantee = "unbroken"        // a request that a sound endpoint runs is not given up before its time is up, nor left without an answer
 	GuaranteeRecovery       Guarantee = "recovery"        // requests are served again after the faults
 )
 
@@ -102,9 +103,10 @@
 	sent     time.Time
 	deadline time.Duration // how long after sent the caller waits
 
-	arrivals []time.Time // times at which the request reached any endpoint
-	runs     []string    // IDs of the endpoints that ran the request
-	refused  bool        // an answer guaranteed that the request has not run
+	arrivals  []time.Time       // times at which the request reached any endpoint
+	addresses map[string]string // addresses of the endpoints that the request reached, by their IDs
+	runs      []string          // IDs of the endpoints that ran the request
+	refused   bool              // an answer guaranteed that the request has not run
 }
 
 // disturbance is the interval in which a fault is in effect.
@@ -189,8 +191,14 @@
 // undisturbed reports whether no fault has affected any of the scopes since the
 // given time, nor in the settleTime before it. c.mu must be held.
 func (c *Checker) undisturbed(since time.Time, scopes ...string) bool {
+	return c.unaffected(since, append(scopes, scopeAll)...)
+}
+
+// unaffected is undisturbed without faults of scopeAll, for what no fault of the store
+// excuses. c.mu must be held.
+func (c *Checker) unaffected(since time.Time, scopes ...string) bool {
 	return !slices.ContainsFunc(c.disturbances, func(d disturbance) bool {
-		return (d.scope == scopeAll || slices.Contains(scopes, d.scope)) && (d.to.IsZero() || d.to.Add(settleTime).After(since))
+		return slices.Contains(scopes, d.scope) && (d.to.IsZero() || d.to.Add(settleTime).After(since))
 	})
 }
 
@@ -264,6 +272,10 @@
 		return
 	}
 	r.arrivals = append(r.arrivals, a.Time)
+	if r.addresses == nil {
+		r.addresses = make(map[string]string)
+	}
+	r.addresses[a.Endpoint.ID] = a.Endpoint.Address
 	c.checkUnmodified(r, a)
 	c.checkDestination(r, a)
 	c.checkNotices(r, a)
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -27,7 +27,7 @@
 		Shares: []fulmardeal.Share{{Service: servicePlain, Weight: 1}}}
 	f.req = &request{attempt: "c1", route: route, customer: &fulmardeal.Customer{Name: "florist"}, key: "f1", method: "POST", path: "/x/1",
 		body: []byte("hello"), sent: time.Now(), deadline: 4 * time.Second}
-	f.arrival = site.ReceivedRequest{Endpoint: fulmardeal.Registration{ID: "e1", Service: servicePlain, DataCentre: "a"}, Method: "POST", Path: "/x/1",
+	f.arrival = site.ReceivedRequest{Endpoint: fulmardeal.Registration{ID: "e1", Address: "10.0.0.1:1", Service: servicePlain, DataCentre: "a"}, Method: "POST", Path: "/x/1",
 		Body: []byte("hello"), Attempt: "c1", Forward: fulmardeal.ForwardMetadata{Customer: "florist"}}
 	return f
 }
@@ -115,7 +115,7 @@
 			f.RequestReceived(f.arrival)
 			f.respond(503, "", "", nil)
 		}, ""},
-		{"failed, ran before", once, func(f *fixture) { f.run(); f.respond(502, "", "", nil) }, ""},
+		{"failed, ran before", once, func(f *fixture) { f.Disturb("10.0.0.1:1"); f.run(); f.respond(502, "", "", nil) }, ""},
 		{"answer of another run", once, func(f *fixture) { f.run(); f.respond(200, site.Signature("c1", "e2", []byte("x")), "x", nil) }, GuaranteeWholeAnswer},
 		{"answer without an end", once, func(f *fixture) { f.run(); f.respond(200, site.Signature("c1", "e1", []byte("xy")), "x", nil) }, GuaranteeWholeAnswer},
 		{"stream", stream, func(f *fixture) { f.run(); f.respondStream(events("e1", 1, 12)) }, ""},
@@ -203,8 +203,33 @@
 		{"401 for a valid key", read, func(f *fixture) { f.respond(401, "", "", nil) }, GuaranteeAdmitted},
 		{"401 for a key that was taken", read, func(f *fixture) { f.KeyRevoked("f1"); f.respond(401, "", "", nil) }, ""},
 		{"cut in quiet", once, func(f *fixture) { f.run(); f.requestFailed(f.req, errors.New("EOF"), false) }, GuaranteeGraceful},
-		{"cut beside a fault", once, func(f *fixture) { f.Disturb("endpoint-1"); f.run(); f.requestFailed(f.req, errors.New("EOF"), false) }, ""},
+		{"cut beside a fault", once, func(f *fixture) { f.Disturb("entry-0"); f.run(); f.requestFailed(f.req, errors.New("EOF"), false) }, ""},
 		{"cut within the answer in quiet", once, func(f *fixture) { f.run(); f.respond(200, "", "x", errors.New("EOF")) }, GuaranteeGraceful},
+		{"cut beside another endpoint's fault", once, func(f *fixture) { f.Disturb("10.0.0.9:1"); f.run(); f.respond(200, "", "x", errors.New("EOF")) }, GuaranteeUnbroken},
+		{"stream cut, its endpoint silent, the store disturbed", stream, func(f *fixture) {
+			f.Disturb(scopeAll)
+			f.run()
+			time.Sleep(1300 * time.Millisecond)
+			f.respond(200, "", events("e1", 1, 4), errors.New("unexpected EOF"))
+		}, GuaranteeUnbroken},
+		{"502, its endpoint silent, another entry killed", read, func(f *fixture) {
+			f.Disturb("entry-1")
+			f.run()
+			time.Sleep(800 * time.Millisecond)
+			f.respond(502, "", "", nil)
+		}, GuaranteeUnbroken},
+		{"504 when the time is up", read, func(f *fixture) {
+			f.run()
+			time.Sleep(2 * time.Second)
+			f.respond(504, "", "", nil)
+		}, ""},
+		{"502, reached no endpoint", read, func(f *fixture) { f.respond(502, "", "", nil) }, ""},
+		{"cut beside a fault of its endpoint", stream, func(f *fixture) { f.Disturb("10.0.0.1:1"); f.run(); f.respond(200, "", "x", errors.New("EOF")) }, ""},
+		{"stream cut, a second endpoint broke off before its first event", stream, func(f *fixture) { f.cutAfterSecond("e1") }, GuaranteeUnbroken},
+		{"stream cut, resumed at a second endpoint that broke off", stream, func(f *fixture) { f.cutAfterSecond("e2") }, ""},
+		{"no answer begun, a second endpoint broke off", stream, func(f *fixture) { f.cutAfterSecond("") }, GuaranteeUnbroken},
+		{"no answer beside another endpoint's fault", once, func(f *fixture) { f.Disturb("endpoint-1"); f.run(); f.requestFailed(f.req, errors.New("EOF"), false) }, GuaranteeUnbroken},
+		{"no answer, its endpoint crashed", once, func(f *fixture) { f.Disturb("10.0.0.1:1"); f.run(); f.requestFailed(f.req, errors.New("EOF"), false) }, GuaranteeUnbroken},
 		{"caller left", once, func(f *fixture) { f.run(); f.requestFailed(f.req, errors.New("EOF"), true) }, ""},
 	}
 	for _, tc := range tests {
@@ -223,6 +248,20 @@
 	}
 }
 
+// cutAfterSecond lets the request reach a second endpoint too, which is disturbed, and
+// cuts the answer after an event of the given endpoint.
+func (f *fixture) cutAfterSecond(source string) {
+	f.run()
+	f.Disturb("10.0.0.2:1")
+	f.arrival.Endpoint.ID, f.arrival.Endpoint.Address = "e2", "10.0.0.2:1"
+	f.receive(1)
+	body := ""
+	if source != "" {
+		body = events(source, 1, 1)
+	}
+	f.respond(200, "", body, errors.New("unexpected EOF"))
+}
+
 // arriveWhileCold lets n requests arrive within a second at an endpoint whose
 // cold phase has the given time left.
 func (f *fixture) arriveWhileCold(n int, cold time.Duration) {
