link/connection: a reply that comes late is not written to the caller's memory

RequestManifest reads that variable whatever the error, so that an agent whose peer was silent for the time of the call could see a slice that was half written.

Cause: Client.Call returns when the context ends; net/rpc knows of no contexts and goes on to decode the reply when it arrives.

Evidence: one run of the whole suite with -race, on a busy machine, reported the race in TestManifestFetchedByTwoAgents; 74 further runs of that test did not. TestLateReply failed: "the caller's data is "late" after a late reply". No crash was seen.

Changed: Call decodes into a value of its own, and copies it to the caller's when the call has ended without an error.

Why it works: once Call has returned, nothing refers to the caller's reply.

--- a/internal/link/connection/connection.go
+++ b/internal/link/connection/connection.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -148,7 +149,8 @@
 
 // Call calls a method and waits for its reply. The error is a *DialError, a
 // *LostError, the error of ctx, or an rpc.ServerError. After the error of ctx, as
-// after a *LostError, the call may or may not have taken effect.
+// after a *LostError, the call may or may not have taken effect. The reply is written
+// only if there is no error: one that arrives after Call has returned is discarded.
 func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
 	s, err := c.session(ctx)
 	if err != nil {
@@ -157,13 +159,15 @@
 
 	s.pending.Add(1)
 	defer s.pending.Add(-1)
-	call := s.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	received := reflect.New(reflect.TypeOf(reply).Elem())
+	call := s.rpc.Go(method, args, received.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 	if call.Error == nil {
+		reflect.ValueOf(reply).Elem().Set(received.Elem())
 		return nil
 	}
 	var remote rpc.ServerError
