--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -18,7 +18,7 @@
 type attemptResult int
 
 const (
-	finished attemptResult = iota // the endpoint's response is complete, or the caller has disconnected
+	finished attemptResult = iota // the endpoint's response is complete
 	notRun                        // the endpoint did not run the request
 	maybeRun                      // the endpoint may have run the request
 )
--- /dev/null
+++ b/internal/process/gateway/run.go
@@ -0,0 +1,269 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/traffic/dispatch"
+)
+
+// Limits and intervals of the attempts of one request.
+const (
+	// maxEndpointsTried is the maximum number of endpoints tried for one
+	// request, including those that refuse it.
+	maxEndpointsTried = 5
+
+	// weightsCheckInterval is the interval between two checks whether the weights
+	// of an endpoint that has not begun to answer may still be used.
+	weightsCheckInterval = 100 * time.Millisecond
+)
+
+// run tries endpoints until the caller has a response.
+func (c *call) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // of the attempts that are still running
+	c.updates = make(chan update)
+	c.silenceTimer = time.NewTimer(c.silenceTimeout())
+	defer c.silenceTimer.Stop()
+	c.weightsTimer = time.NewTimer(weightsCheckInterval)
+	defer c.weightsTimer.Stop()
+	if !c.startNext(ctx) {
+		return
+	}
+	for {
+		select {
+		case u := <-c.updates:
+			if c.apply(ctx, u) {
+				return
+			}
+		case <-c.silenceTimer.C:
+			c.onSilence(ctx)
+		case now := <-c.weightsTimer.C:
+			c.checkWeights(now)
+		case <-ctx.Done():
+			if timeIsUp(ctx) {
+				c.runs += len(c.attempts)
+				c.giveUp(ctx, "time is up")
+				return
+			}
+			c.logDisconnected()
+			return
+		}
+	}
+}
+
+// startNext waits for a slot and starts an attempt there, while no other attempt is
+// running. If there is no slot, it ends the request and returns false.
+func (c *call) startNext(ctx context.Context) bool {
+	start := time.Now()
+	reservation, err := c.gateway.table.Reserve(ctx, c.dispatchRequest())
+	c.queueTime += time.Since(start)
+	if err != nil {
+		c.handleReserveError(ctx, err)
+		return false
+	}
+	c.start(ctx, reservation)
+	return true
+}
+
+// start starts an attempt.
+func (c *call) start(ctx context.Context, reservation *dispatch.Reservation) {
+	forwarded := fulmardeal.ForwardMetadata{
+		Instance:       reservation.Endpoint().ID(),
+		Deadline:       time.Until(c.deadline),
+		Customer:       c.customer,
+		Priority:       -1,
+		WeightsVersion: c.progress.weights,
+		LastEventID:    c.progress.resumeAfter(c.metadata.LastEventID),
+	}
+	if c.progress.started {
+		forwarded.Priority = 0 // most urgent: its caller is waiting in the middle of a response
+	}
+	request := c.request
+	request.Header = c.gateway.codec.ForwardHeader(c.request.Header, forwarded)
+	ctx, cancel := context.WithCancel(ctx)
+	exchange, withdraw := context.WithCancel(ctx)
+	a := &attempt{call: c, reservation: reservation, request: request, resumed: c.progress.started, cancel: cancel, withdraw: withdraw}
+	c.attempts = append(c.attempts, a)
+	c.sends++
+	c.silenceTimer.Reset(c.silenceTimeout())
+	c.weightsTimer.Reset(weightsCheckInterval)
+	go a.run(ctx, exchange)
+}
+
+// checkWeights withdraws the request from endpoints that have not begun to answer it and
+// whose weights may not be used any longer. Weights may be superseded while it waits.
+func (c *call) checkWeights(now time.Time) {
+	next := weightsCheckInterval
+	waiting := false
+	for _, a := range c.attempts {
+		if a.begun.Load() {
+			continue
+		}
+		waiting = true
+		by := a.reservation.StartBy()
+		switch {
+		case by.IsZero():
+		case now.Before(by):
+			next = min(next, by.Sub(now))
+		default:
+			c.log.Info("request withdrawn: the endpoint's weights may not be used any longer", "endpoint", a.reservation.Endpoint().ID(), "weights", a.reservation.Weights())
+			a.withdraw()
+		}
+	}
+	if waiting {
+		c.weightsTimer.Reset(next)
+	}
+}
+
+// apply applies an update and reports whether the request has ended.
+func (c *call) apply(ctx context.Context, u update) (ended bool) {
+	if u.response != nil {
+		c.buffered = append(c.buffered, u.response.body)
+	}
+	switch {
+	case u.attempt.cancelled:
+		return false
+	case !u.ended:
+		c.cancelOthers(u.attempt)
+		u.attempt.silent = false
+		if !c.writeEvents(u) {
+			c.logDisconnected()
+			return true
+		}
+		c.silenceTimer.Reset(c.silenceTimeout()) // afterwards, because a slow caller delays the write
+		return false
+	case u.result == finished:
+		c.cancelOthers(u.attempt)
+		c.finish(u)
+		return true
+	}
+	return c.applyFailure(ctx, u)
+}
+
+// applyFailure applies the update of an attempt that has ended without a complete
+// response, and reports whether the request has ended. If no other attempt is in
+// progress, it starts one if that is permitted.
+func (c *call) applyFailure(ctx context.Context, u update) (ended bool) {
+	u.attempt.cancel()
+	c.attempts = slices.DeleteFunc(c.attempts, func(a *attempt) bool { return a == u.attempt })
+	if u.result == maybeRun {
+		c.runs++
+	}
+	if u.response != nil {
+		c.lastFailure = u.response
+	}
+	if u.outcome != dispatch.OutcomeFull {
+		c.tried = append(c.tried, u.attempt.reservation.Endpoint().ID())
+	}
+	if len(c.attempts) > 0 {
+		pause := refusedPause
+		if slices.ContainsFunc(c.attempts, func(a *attempt) bool { return !a.silent }) {
+			pause = c.silenceTimeout()
+		}
+		c.silenceTimer.Reset(pause)
+		return false
+	}
+	reason, ok := c.mayRetry(ctx)
+	if ok && !c.gateway.retryBudget(c.service).Withdraw() {
+		reason, ok = "repeats used up", false
+	}
+	if !ok {
+		c.giveUp(ctx, reason)
+		return true
+	}
+	return !c.startNext(ctx)
+}
+
+// cancelOthers cancels all attempts but the one whose response the caller gets.
+func (c *call) cancelOthers(leader *attempt) {
+	if len(c.attempts) == 1 {
+		return
+	}
+	for _, a := range c.attempts {
+		if a == leader {
+			continue
+		}
+		a.cancelled = true
+		a.cancel()
+		c.runs++
+		c.tried = append(c.tried, a.reservation.Endpoint().ID())
+	}
+	c.log.Info("attempt answered before another", "endpoint", leader.reservation.Endpoint().ID(), "first", c.attempts[0] == leader, "events", c.progress.events)
+	c.attempts = append(c.attempts[:0], leader)
+}
+
+// finish ends the request with a complete response.
+func (c *call) finish(u update) {
+	reservation := u.attempt.reservation
+	if u.response != nil {
+		c.writeResponse(u.response)
+		if u.outcome == dispatch.OutcomeServed {
+			c.gateway.stats.served(c.service, time.Since(c.received))
+		}
+		return
+	}
+	c.gateway.stats.served(c.service, time.Since(c.received))
+	c.log.Info("served", "endpoint", reservation.Endpoint().ID(), "first", c.progress.firstEvent, "pause", c.progress.longestPause, "events", c.progress.events,
+		"expected", reservation.ExpectedFirstEvent(), "waited", c.queueTime, "prompt", c.metadata.PromptTokens, "sends", c.sends, "weights", u.weights)
+}
+
+func (c *call) dispatchRequest() *dispatch.Request {
+	request := &dispatch.Request{
+		Service:         c.service,
+		HomeRegions:     c.homeRegions,
+		PromptTokens:    c.metadata.PromptTokens,
+		RequiredWeights: c.progress.weights,
+		Tried:           slices.Clone(c.tried),
+		Deadline:        c.deadline,
+		Fingerprint:     c.fingerprint,
+		Sent:            c.received,
+		Objective:       c.route.Objective,
+	}
+	for _, a := range c.attempts {
+		request.Tried = append(request.Tried, a.reservation.Endpoint().ID())
+	}
+	if c.progress.started {
+		request.Sent, request.Objective, request.Resumed = time.Now(), c.route.Pause, true
+	}
+	return request
+}
+
+// mayRetry reports whether another endpoint may be tried, and the reason if not. The
+// attempts in progress count as run.
+func (c *call) mayRetry(ctx context.Context) (string, bool) {
+	runs := c.runs + len(c.attempts)
+	switch {
+	case ctx.Err() != nil:
+		return "time is up", false
+	case runs > 0 && !c.route.Repeatable():
+		return "may have run", false
+	case c.progress.unresumable:
+		return "events without ids", false
+	case runs >= c.route.Attempts:
+		return "attempts used up", false
+	case c.sends >= maxEndpointsTried:
+		return "too many endpoints asked", false
+	}
+	return "", true
+}
+
+// maxIdleTime returns the maximum idle time of a pooled connection that may be
+// used for this request. A request that must not be retried needs a recently
+// used connection: the endpoint may have closed an older one, and then it is
+// unknown whether it has received the request.
+func (c *call) maxIdleTime() time.Duration {
+	if c.route.Repeatable() {
+		return time.Hour
+	}
+	return recentUse
+}
+
+// recentUse is the maximum idle time of a connection on which a request that must not be
+// retried is sent. It is below all idle timeouts of endpoints, which are whole seconds.
+const recentUse = 300 * time.Millisecond
+
+// noDeadline is the deadline of a wait that only ends with the request's deadline.
+var noDeadline time.Time
--- a/internal/process/gateway/silence.go
+++ b/internal/process/gateway/silence.go
@@ -11,8 +11,7 @@
 // second one. The first attempt goes on: an endpoint may be silent for a second or so and
 // then continue, and the second one may fail.
 const (
-	// minPlainSilence applies to a plain response. It is seven times the usual duration
-	// of a plain call.
+	// minPlainSilence applies to a plain response. Plain calls rarely take longer.
 	minPlainSilence = 400 * time.Millisecond
 
 	// minFirstEventSilence applies to the first event of a stream. It leaves another
