process/gateway: gateways under test have applied their store before the first call

TestEndlessResponse/stream failed once, with "no request was sent to the first endpoint": its 100 calls took 70 ms and none reached an endpoint. startGateway waited 250 ms for two reads of the registrations, which is not enough when dozens of tests run side by side.

It now waits until the gateway has asked for the records that follow the last one of both feeds, which it does when it has applied the others.

--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -27,6 +27,18 @@
 	mu           sync.Mutex
 	unresponsive bool
 	records      map[string][]fulmardeal.Change // by topic
+	followed     map[string]int                 // by topic: number of records that have been applied
+}
+
+func newMemStore() *memStore {
+	return &memStore{records: make(map[string][]fulmardeal.Change), followed: make(map[string]int)}
+}
+
+// applied reports whether all records of a topic have been applied.
+func (m *memStore) applied(topic string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.followed[topic] >= len(m.records[topic])
 }
 
 func (m *memStore) put(topic string, c fulmardeal.Change) {
@@ -54,6 +66,9 @@
 
 func (f topicFeed) Since(ctx context.Context, from fulmardeal.Position, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Position, error) {
 	until := time.Now().Add(wait)
+	f.store.mu.Lock()
+	f.store.followed[f.name] = int(from) // a reader asks for these records when it has applied those before
+	f.store.mu.Unlock()
 	for {
 		f.store.mu.Lock()
 		unresponsive, all := f.store.unresponsive, f.store.records[f.name]
@@ -152,7 +167,7 @@
 
 func startGateway(t *testing.T, build func(w *testGateway)) *testGateway {
 	t.Helper()
-	w := &testGateway{t: t, store: &memStore{records: make(map[string][]fulmardeal.Change)}, done: make(chan error, 1), codec: platform.Codec{}, log: slog.DiscardHandler}
+	w := &testGateway{t: t, store: newMemStore(), done: make(chan error, 1), codec: platform.Codec{}, log: slog.DiscardHandler}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -181,9 +196,8 @@
 		cancel()
 		cleanup()
 	})
-	for range 200 { // until the first feeds have been read
-		if a := w.call("GET", "/none/", nil); a.status == http.StatusNotFound {
-			time.Sleep(250 * time.Millisecond) // time for two reads of the registrations
+	for range 1000 {
+		if w.store.applied("operator") && w.store.applied("registrations") && w.call("GET", "/none/", nil).status == http.StatusNotFound {
 			return w
 		}
 		time.Sleep(10 * time.Millisecond)
--- a/internal/process/gateway/relay_test.go
+++ b/internal/process/gateway/relay_test.go
@@ -42,7 +42,7 @@
 // read the store, and that others take over when those four stop.
 func TestStoreReadThroughRelays(t *testing.T) {
 	const entries, readers = 9, 4
-	m := &memStore{records: make(map[string][]fulmardeal.Change)}
+	m := newMemStore()
 	c := catalogue(1)
 	m.put("operator", fulmardeal.Change{Key: "config", Catalogue: &c})
 	var stores []*countStore
