process/gateway: apply the configured limits on headers and idle connections

The configuration's limits on the size of a header, the time for a header and the time that a connection may be idle were not applied; 64 KiB, 10 s and 60 s were fixed. With an idle limit above 75 s, callers use connections, up to four fifths of the limit, that the entry has closed. With a header limit above 64 KiB proper requests got 431.

net/http reads its timeouts without a lock, so that they can't change while it serves. It now gets symbolic timeouts, and the callers' connections replace them by the limits in force when net/http sets a deadline. Longer times also apply to open connections, those that are idle included; shorter ones only to connections that are opened later. A connection that has sent nothing yet is idle; the time for its first header starts with the first byte.

The size of a header is checked when it has been read, so that a caller gets the entry's own 431 on a kept connection. net/http's limit is 256 KiB, which bounds the configured one.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -82,10 +82,7 @@
 	bufferedFraction     = 0.2      // maximum size of all buffered responses, as a fraction of the memory limit
 	defaultBufferedBytes = 64 << 20 // the same without a memory limit
 
-	maxHeaderBytes      = 64 << 10         // of a request's header; fixed, the configured limit is not applied
-	defaultMaxBodyBytes = 4 << 20          // of a request's body, if the configuration sets no limit
-	headerTimeout       = 10 * time.Second // for receiving a request's header; fixed, the configured limit is not applied
-	idleTimeout         = 60 * time.Second // until an idle connection of a caller is closed; longer than callers keep idle connections
+	defaultMaxBodyBytes = 4 << 20 // of a request's body, if the configuration sets no limit
 
 	// retryBudgetFraction is the fraction of this entry's share of the
 	// retry budget that it uses. The rest is a reserve, because refusals by
@@ -148,6 +145,7 @@
 	dumpWriter     io.Writer
 
 	callerListener    net.Listener
+	callerConns       callerConns
 	readinessListener net.Listener
 	leaving           atomic.Bool
 	configured        atomic.Pointer[time.Time] // when operators' changes last took effect; nil if never
@@ -286,6 +284,9 @@
 	}
 	if len(events) > 0 {
 		g.configured.Store(&now)
+		if c := g.catalogue.View().Catalogue(); c != nil {
+			g.callerConns.setLimits(c.Limits)
+		}
 		g.table.Refresh(now, g.roster.List(), g.catalogue.View())
 		g.mesh.UpdateAgents()
 	}
@@ -341,7 +342,7 @@
 	server.BaseContext = func(net.Listener) context.Context { return requests }
 	ready := &http.Server{Handler: http.HandlerFunc(g.handleReadiness)}
 	group, work := errgroup.WithContext(work)
-	group.Go(func() error { return serve(server, g.callerListener) })
+	group.Go(func() error { return serve(server, callerListener{g.callerListener, &g.callerConns}) })
 	group.Go(func() error { return serve(ready, g.readinessListener) })
 	group.Go(func() error { return g.followFeeds(work) })
 	group.Go(g.rpcServer.Serve)
@@ -383,8 +384,8 @@
 	return &http.Server{
 		Handler:           g,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
+		ReadHeaderTimeout: symbolicHeaderTimeout,
+		IdleTimeout:       symbolicIdleTimeout,
 		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug), // what callers send; panics are logged by logPanic
 	}
 }
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -119,7 +119,7 @@
 	if !c.authorize(view) {
 		return false
 	}
-	if !c.readBody(r, view.Catalogue().Limits) {
+	if limits := view.Catalogue().Limits; !c.acceptHeader(r, limits) || !c.readBody(r, limits) {
 		return false
 	}
 	c.service = pickService(route.Shares, c.metadata.AttemptID)
--- /dev/null
+++ b/internal/process/gateway/limits.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fulmardeal"
+)
+
+// Limits on callers' connections. The defaults apply while the configuration sets none.
+const (
+	defaultHeaderBytes   = 64 << 10         // of a request's header
+	maxHeaderBytes       = 256 << 10        // of a request's header, if the configuration allows more
+	defaultHeaderTimeout = 10 * time.Second // for receiving a request's header
+	defaultIdleTimeout   = 60 * time.Second // until an idle connection is closed
+)
+
+// net/http reads its timeouts without a lock, so they can't change while it serves. It
+// gets these symbolic ones, which a callerConn replaces by the limits in force.
+const (
+	symbolicIdleTimeout   = 1000 * time.Hour
+	symbolicHeaderTimeout = 2000 * time.Hour
+	symbolicTolerance     = time.Hour // between the computation of a deadline and the call that sets it
+)
+
+// timeLimits are time limits on callers' connections.
+type timeLimits struct {
+	header time.Duration
+	idle   time.Duration
+}
+
+// extend makes the limits as long as the others at least.
+func (l *timeLimits) extend(other timeLimits) {
+	l.header, l.idle = max(l.header, other.header), max(l.idle, other.idle)
+}
+
+// callerConns holds the connections of callers and their time limits.
+type callerConns struct {
+	limits atomic.Pointer[timeLimits] // nil for the defaults
+	mu     sync.Mutex
+	conns  map[*callerConn]struct{}
+}
+
+// timeLimits returns the limits in force.
+func (s *callerConns) timeLimits() timeLimits {
+	if l := s.limits.Load(); l != nil {
+		return *l
+	}
+	return timeLimits{header: defaultHeaderTimeout, idle: defaultIdleTimeout}
+}
+
+// setLimits puts limits in force, and extends the time of idle connections if they
+// may stay so for longer.
+func (s *callerConns) setLimits(l fulmardeal.Limits) {
+	limits := timeLimits{header: defaultHeaderTimeout, idle: defaultIdleTimeout}
+	if l.HeaderTimeout > 0 {
+		limits.header = l.HeaderTimeout
+	}
+	if l.Idle > 0 {
+		limits.idle = l.Idle
+	}
+	s.limits.Store(&limits)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.extendLimits(limits)
+	}
+}
+
+func (s *callerConns) add(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = make(map[*callerConn]struct{})
+	}
+	s.conns[c] = struct{}{}
+}
+
+func (s *callerConns) remove(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// callerListener accepts callers' connections.
+type callerListener struct {
+	net.Listener
+	conns *callerConns
+}
+
+// Accept returns a connection to which the limits in force apply.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	tcp, ok := conn.(*net.TCPConn)
+	if err != nil || !ok {
+		return conn, err
+	}
+	c := &callerConn{TCPConn: tcp, conns: l.conns}
+	l.conns.add(c)
+	c.extendLimits(l.conns.timeLimits())
+	return c, nil
+}
+
+// callerConn is a connection of a caller.
+type callerConn struct {
+	*net.TCPConn
+	conns *callerConns
+	used  atomic.Bool // whether the caller has sent anything
+
+	mu        sync.Mutex
+	limits    timeLimits // the longest ones that were in force since the connection was opened
+	idleSince time.Time  // zero while a request is being received or handled
+}
+
+// Close closes the connection.
+func (c *callerConn) Close() error {
+	c.conns.remove(c)
+	return c.TCPConn.Close()
+}
+
+// Read reads what the caller sends. The first byte starts the time for the header of
+// the first request.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.used.CompareAndSwap(false, true) {
+		if err := c.SetReadDeadline(time.Now().Add(symbolicHeaderTimeout)); err != nil {
+			return n, err
+		}
+	}
+	return n, err
+}
+
+// SetReadDeadline sets the deadline of reads, or the one that a symbolic timeout
+// stands for. A connection is idle until the first byte.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Time{}
+	left := time.Until(t)
+	if t.IsZero() || left < symbolicIdleTimeout-symbolicTolerance {
+		return c.TCPConn.SetReadDeadline(t)
+	}
+	now := time.Now()
+	if left > symbolicHeaderTimeout-symbolicTolerance && c.used.Load() {
+		return c.TCPConn.SetReadDeadline(now.Add(c.limits.header))
+	}
+	c.idleSince = now
+	return c.TCPConn.SetReadDeadline(now.Add(c.limits.idle))
+}
+
+// extendLimits extends the connection's limits. Shorter ones apply only to connections
+// that are opened later: a caller may use this one as the earlier ones allowed.
+func (c *callerConn) extendLimits(limits timeLimits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits.extend(limits)
+	if !c.idleSince.IsZero() {
+		// A failure means that the connection has been closed.
+		_ = c.TCPConn.SetReadDeadline(c.idleSince.Add(c.limits.idle))
+	}
+}
+
+// acceptHeader refuses a request whose header exceeds the configured limit.
+func (c *call) acceptHeader(r *http.Request, l fulmardeal.Limits) bool {
+	limit := defaultHeaderBytes
+	if l.Header > 0 {
+		limit = min(l.Header, maxHeaderBytes)
+	}
+	if headerBytes(r) <= limit {
+		return true
+	}
+	c.refuse(http.StatusRequestHeaderFieldsTooLarge, "header too large", 0)
+	return false
+}
+
+// headerBytes returns the size of a request's header without optional white space.
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len("Host:\r\n") + len(r.Host) + len("\r\n")
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(":\r\n")
+		}
+	}
+	return size
+}
--- a/internal/process/gateway/shutdown_test.go
+++ b/internal/process/gateway/shutdown_test.go
@@ -144,7 +144,7 @@
 	}
 	var running sync.WaitGroup
 	running.Go(func() {
-		if err := serve(server, listener); err != nil {
+		if err := serve(server, callerListener{listener, &callerConns{}}); err != nil {
 			t.Error(err)
 		}
 	})
