process/gateway: read a refused body, so that its refusal isn't reset

A request that is refused before its body was read (401, 404, 413, 431, and 503 while an entry knows no configuration or can't confirm its keys) could lose its answer if its caller sends the whole body before it reads: net/http discards 256 KB at most, then closes half a second after the answer, and the caller is reset in the middle of its body. On Linux the answer could mostly be read after that; a caller that ends at the failed write gets none, not even the promise of a 503 that the request has not run. If the body was shorter and stopped arriving, net/http held the answer back without a limit.

--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -73,6 +73,7 @@
 	c.log = g.log.With("id", c.metadata.AttemptID)
 	defer c.logPanic()
 	if !c.admit(r) {
+		discardBody(w, r)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
