process/gateway: gateways under test listen on addresses of their own

startGateway picks a free port of 127.0.0.1, closes it and lets the gateway listen there. With tests in parallel, an outgoing connection of another test took the port in between (1 of 4 runs of the tests of connections failed with "address already in use").

--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -153,7 +153,8 @@
 func startGateway(t *testing.T, build func(w *testGateway)) *testGateway {
 	t.Helper()
 	w := &testGateway{t: t, store: &memStore{records: make(map[string][]fulmardeal.Change)}, done: make(chan error, 1), codec: platform.Codec{}, log: slog.DiscardHandler}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// On an address of its own, no outgoing connection of another test takes the port.
+	l, err := net.Listen("tcp", newHost()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
