--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -69,6 +69,7 @@
 	c.log = g.log.With("id", c.metadata.AttemptID)
 	defer c.logPanic()
 	if !c.admit(r) {
+		discardBody(w, r)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -115,7 +116,7 @@
 	if !c.authorize(view) {
 		return false
 	}
-	if !c.readBody(r, view.Catalogue().Limits) {
+	if limits := view.Catalogue().Limits; !c.acceptHeader(r, limits) || !c.readBody(r, limits) {
 		return false
 	}
 	c.service = pickService(route.Shares, c.metadata.AttemptID)
