standin/site: a request on a kept connection counts as received when it arrives

A silent endpoint noted some requests on kept connections only at the end of its silence, as if the entry had given them too much time.

Cause: after a response net/http ends the read that waits beside the handler. When the silence had begun by then, that read, which returned no bytes, waited for its end, and the next request stayed unread meanwhile. Now only reads that return bytes wait.

TestSilenceKeepsTimeOfArrivalAfterLastWrite fails without this.

--- a/internal/standin/site/silence.go
+++ b/internal/standin/site/silence.go
@@ -91,7 +91,9 @@
 		c.received = time.Now()
 	}
 	c.mu.Unlock()
-	c.silence.wait()
+	if n > 0 { // net/http also ends reads, and must then read on at once
+		c.silence.wait()
+	}
 	return n, err
 }
 
--- a/internal/standin/site/silence_test.go
+++ b/internal/standin/site/silence_test.go
@@ -164,3 +164,18 @@
 		t.Errorf("received %v after it was sent", late)
 	}
 }
+
+// The same on a connection that was kept after the silence had begun: the last write of
+// the response before got out.
+func TestSilenceKeepsTimeOfArrivalAfterLastWrite(t *testing.T) {
+	e, address, seen := startEndpoint(t, true)
+	for range 2 { // the second silence lets one more write out
+		time.AfterFunc(12*testService+testService/2, func() { e.Silence(testSilence) })
+		call(t.Context(), t, e, address)
+	}
+	sent := time.Now()
+	call(t.Context(), t, e, address)
+	if late := seen.times[2].Sub(sent); late > testSilence/2 {
+		t.Errorf("received %v after it was sent", late)
+	}
+}
