process/entry: a panic in a handler ends one request, not the process

fasthttp recovers no panics, so that one in a handler of the product's own interface ended the entry, and every caller's connection without an answer.

TestHandlerPanicEndsOneRequest ended the test binary before. Now the panic is logged with its stack, and the request gets 502 with "ran unknown", as one whose endpoint failed.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -123,7 +123,7 @@
 
 func (e *Entry) newServer() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:               e.handle,
+		Handler:               e.serve,
 		Name:                  "fulmardeal",
 		ReadBufferSize:        maxHeaderBytes,
 		StreamRequestBody:     true, // readBody limits the size
--- a/internal/process/entry/entry_test.go
+++ b/internal/process/entry/entry_test.go
@@ -16,6 +16,7 @@
 	"fulmardeal/internal/process/settings"
 	"fulmardeal/internal/proof/invariant"
 	"fulmardeal/internal/standin/platform"
+	"fulmardeal/internal/traffic/attempt"
 	"fulmardeal/internal/traffic/choice"
 )
 
@@ -68,3 +69,34 @@
 		t.Errorf("%d failures are left, want a connection accepted after the last one", left)
 	}
 }
+
+// A panic in a handler must end only its own request, which may have run.
+func TestHandlerPanicEndsOneRequest(t *testing.T) {
+	e := &Entry{log: slog.New(slog.DiscardHandler), stats: &Stats{}} // without the node that handlers use
+	server := e.newServer()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	client := http.Client{Timeout: 5 * time.Second}
+	defer client.CloseIdleConnections()
+	for range 2 {
+		response, err := client.Get("http://" + listener.Addr().String() + "/shop/orders")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if ran := response.Header.Get(HeaderRan); response.StatusCode != http.StatusBadGateway || ran != string(attempt.RanUnknown) {
+			t.Errorf("status %d, ran %q; want 502 and unknown", response.StatusCode, ran)
+		}
+	}
+	if err := server.Shutdown(); err != nil {
+		t.Error(err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/process/entry/handle.go
+++ b/internal/process/entry/handle.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -40,6 +41,19 @@
 
 func (e *badRequest) Error() string { return e.reason }
 
+// serve serves one HTTP request of a caller. A panic fails that request: fasthttp would
+// let it end the process, and with it the requests of all callers.
+func (e *Entry) serve(ctx *fasthttp.RequestCtx) {
+	defer func() {
+		if v := recover(); v != nil {
+			e.log.Error("handler panicked", "value", v, "stack", string(debug.Stack()))
+			ctx.Response.Reset()
+			e.refuse(ctx, &request.RefusedError{Cause: request.CauseFailed, Ran: attempt.RanUnknown, RetryAfter: time.Second})
+		}
+	}()
+	e.handle(ctx)
+}
+
 // handle serves one HTTP request of a caller.
 func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
 	started := time.Now()
