process/gateway, traffic/dispatch: placeholders for timeouts, RecordEvent

A timeout that stands for another is a placeholder, and RecordFirstEvent is called for each event since it ends a silence. A group of endpoints is never nil any more. No behaviour changes.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -142,7 +142,7 @@
 		events, partial := splitEvents(pending)
 		if len(events) > 0 {
 			a.begun.Store(true)
-			a.reservation.RecordFirstEvent()
+			a.reservation.RecordEvent()
 			lastHeard, started = time.Now(), true
 			a.report(ctx, update{attempt: a, status: x.Status(), header: x.Header(), weights: r.WeightsVersion, events: events})
 			pending = append([]byte(nil), partial...) // the call may still use the events
@@ -173,7 +173,7 @@
 	if err != nil {
 		return a.failure(ctx, err, sent, false)
 	}
-	a.reservation.RecordFirstEvent()
+	a.reservation.RecordEvent()
 	x.Release(r.IdleTimeout)
 	u := update{response: &endpointResponse{status: x.Status(), header: x.Header(), body: body}, outcome: dispatch.OutcomeServed}
 	if x.Status() >= http.StatusInternalServerError {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -383,8 +383,8 @@
 	return &http.Server{
 		Handler:           g,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: symbolicHeaderTimeout,
-		IdleTimeout:       symbolicIdleTimeout,
+		ReadHeaderTimeout: placeholderHeaderTimeout,
+		IdleTimeout:       placeholderIdleTimeout,
 		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug), // what callers send; panics are logged by logPanic
 	}
 }
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -19,11 +19,11 @@
 )
 
 // net/http reads its timeouts without a lock, so they can't change while it serves. It
-// gets these symbolic ones, which a callerConn replaces by the limits in force.
+// gets these placeholders, which a callerConn replaces by the limits in force.
 const (
-	symbolicIdleTimeout   = 1000 * time.Hour
-	symbolicHeaderTimeout = 2000 * time.Hour
-	symbolicTolerance     = time.Hour // between the computation of a deadline and the call that sets it
+	placeholderIdleTimeout   = 1000 * time.Hour
+	placeholderHeaderTimeout = 2000 * time.Hour
+	placeholderTolerance     = time.Hour // between the computation of a deadline and the call that sets it
 )
 
 // timeLimits are time limits on callers' connections.
@@ -126,25 +126,25 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if n > 0 && c.used.CompareAndSwap(false, true) {
-		if err := c.SetReadDeadline(time.Now().Add(symbolicHeaderTimeout)); err != nil {
+		if err := c.SetReadDeadline(time.Now().Add(placeholderHeaderTimeout)); err != nil {
 			return n, err
 		}
 	}
 	return n, err
 }
 
-// SetReadDeadline sets the deadline of reads, or the one that a symbolic timeout
+// SetReadDeadline sets the deadline of reads, or the one that a placeholder
 // stands for. A connection is idle until the first byte.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idleSince = time.Time{}
 	left := time.Until(t)
-	if t.IsZero() || left < symbolicIdleTimeout-symbolicTolerance {
+	if t.IsZero() || left < placeholderIdleTimeout-placeholderTolerance {
 		return c.TCPConn.SetReadDeadline(t)
 	}
 	now := time.Now()
-	if left > symbolicHeaderTimeout-symbolicTolerance && c.used.Load() {
+	if left > placeholderHeaderTimeout-placeholderTolerance && c.used.Load() {
 		return c.TCPConn.SetReadDeadline(now.Add(c.limits.header))
 	}
 	c.idleSince = now
--- a/internal/traffic/dispatch/attempt_test.go
+++ b/internal/traffic/dispatch/attempt_test.go
@@ -164,7 +164,7 @@
 	}
 	switch words[0] {
 	case "event": // NAME
-		r.RecordFirstEvent()
+		r.RecordEvent()
 	case "silent": // NAME
 		r.RecordSilence()
 	case "leaving": // NAME
--- a/internal/traffic/dispatch/replay_silence_test.go
+++ b/internal/traffic/dispatch/replay_silence_test.go
@@ -194,7 +194,7 @@
 		if c.first.IsZero() {
 			c.first = c.lastHeard
 		}
-		a.reservation.RecordFirstEvent()
+		a.reservation.RecordEvent()
 		for _, other := range slices.Clone(c.attempts) {
 			if other != a {
 				c.end(other, OutcomeCancelled)
--- a/internal/traffic/dispatch/replay_test.go
+++ b/internal/traffic/dispatch/replay_test.go
@@ -292,7 +292,7 @@
 	if err != nil {
 		return "", nil, nil, err
 	}
-	return r.Endpoint().Address(), r.RecordFirstEvent, func() { r.Release(OutcomeServed) }, nil
+	return r.Endpoint().Address(), r.RecordEvent, func() { r.Release(OutcomeServed) }, nil
 }
 
 // baselinePolicy sends each request at once, to a random engine or to the one
--- a/internal/traffic/dispatch/reservation.go
+++ b/internal/traffic/dispatch/reservation.go
@@ -47,9 +47,9 @@
 	return end.Add(-startMargin)
 }
 
-// RecordFirstEvent records that the first event of the response has arrived, or a further
-// one, which only shows that the endpoint isn't silent.
-func (r *Reservation) RecordFirstEvent() {
+// RecordEvent records an event of the response, or a complete plain response. The first
+// one shows the endpoint's lag, and each one that the endpoint isn't silent.
+func (r *Reservation) RecordEvent() {
 	r.table.mu.Lock()
 	defer r.table.mu.Unlock()
 	now := time.Now()
@@ -59,9 +59,7 @@
 	r.markStarted()
 	if r.silent && !r.released {
 		r.endSilence()
-		if r.group != nil {
-			r.table.assignQueued(now, r.group)
-		}
+		r.table.assignQueued(now, r.group)
 	}
 }
 
