process/gateway: log the prompt parts of lost requests, and whether the endpoint crashed

The logs of the incident could not tell which parts of prompts the requests had under which engines crashed, nor a crash from a connection that was reset or cut. When an endpoint breaks off a response that has hardly begun, the entry now opens a connection to it, once for all requests lost there: only a refused connection is a crash. `endpoint failed` has the parts, the number of events and the result; `endpoint checked` also says whether the endpoint was cold or leaving. Nothing is decided by it yet.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"runtime/debug"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,7 @@
 	cancel      context.CancelFunc
 	withdraw    context.CancelFunc // ends the exchange, but not the report of its end
 	begun       atomic.Bool        // the endpoint has begun to answer
+	events      int                // events received; belongs to the attempt's goroutine
 
 	// The fields below belong to the call.
 	cancelled bool
@@ -143,6 +145,7 @@
 		if len(events) > 0 {
 			a.begun.Store(true)
 			a.reservation.RecordEvent()
+			a.events += countEvents(events)
 			lastHeard, started = time.Now(), true
 			a.report(ctx, update{attempt: a, status: x.Status(), header: x.Header(), weights: r.WeightsVersion, events: events})
 			pending = append([]byte(nil), partial...) // the call may still use the events
@@ -197,11 +200,13 @@
 	}
 	var unsent *fulmardeal.UnsentError
 	isUnsent := errors.As(err, &unsent)
+	crashed := !isUnsent && !a.answering() && ctx.Err() == nil && c.gateway.crashes.crashed(ctx, c.gateway.pool, c.log, a.reservation)
 	point := "answer"
 	if started || a.resumed {
 		point = "event"
 	}
-	c.log.Warn("endpoint failed", "endpoint", e.ID(), "unsent", isUnsent, "err", err, "silence", time.Since(lastHeard), "point", point)
+	c.log.Warn("endpoint failed", "endpoint", e.ID(), "unsent", isUnsent, "err", err, "silence", time.Since(lastHeard), "point", point,
+		"events", a.events, "crashed", crashed, "parts", strings.Join(c.metadata.SharedParts, ","))
 	c.gateway.pool.CloseIdle(e.Address())
 	if isUnsent {
 		return update{result: notRun, outcome: dispatch.OutcomeFailed}
@@ -209,6 +214,10 @@
 	return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 }
 
+// answering reports whether the endpoint is well into its answer: it has gone on after the
+// first event.
+func (a *attempt) answering() bool { return a.events > 1 }
+
 // applyNotice records that an endpoint is leaving or asks for a pause. It applies to
 // every response of the endpoint, also to one that isn't passed on.
 func (a *attempt) applyNotice(r fulmardeal.ResponseMetadata) {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -150,6 +150,8 @@
 	leaving           atomic.Bool
 	configured        atomic.Pointer[time.Time] // when operators' changes last took effect; nil if never
 
+	crashes crashChecks
+
 	mu           sync.Mutex
 	retryBudgets map[string]*budget.RetryBudget // keyed by the service's name
 }
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -107,6 +107,16 @@
 	}
 }
 
+// countEvents returns the number of complete events in data.
+func countEvents(data []byte) int {
+	count := 0
+	for n := eventEnd(data); n > 0; n = eventEnd(data) {
+		data = data[n:]
+		count++
+	}
+	return count
+}
+
 // eventID returns the id of an event, or an empty string if it has none.
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
--- a/internal/traffic/dispatch/reservation.go
+++ b/internal/traffic/dispatch/reservation.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Reservation is a slot at an endpoint that is reserved for a request. The
 // caller must call Release.
@@ -20,6 +23,16 @@
 // Endpoint returns the endpoint on which the slot is reserved.
 func (r *Reservation) Endpoint() *Endpoint { return r.endpoint }
 
+// EndpointState reports whether the endpoint is about to stop, or is no longer registered,
+// and whether it is in its cold phase.
+func (r *Reservation) EndpointState() (leaving, cold bool) {
+	t := r.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := r.endpoint
+	return e.isLeaving() || !slices.Contains(r.group.endpoints, e), time.Now().Before(e.coldUntil)
+}
+
 // Weights returns the version of the weights that the endpoint was known to
 // hold when the slot was reserved.
 func (r *Reservation) Weights() int64 { return r.weights }
--- a/pool.go
+++ b/pool.go
@@ -283,11 +283,12 @@
 	Deadline             time.Duration // how long the caller waits; 0 if not given
 	APIKey               string        // API key of a customer
 	Model                string
-	PromptTokens         int    // length of the prompt, in tokens
-	MaxOutputTokens      int    // maximum length of the output, in tokens
-	ExpectedOutputTokens int    // expected length of the output, in tokens; 0 if not given
-	LastEventID          string // id of the last event that the caller has received
-	PromptPrefix         string // identifies a prompt prefix that other requests may share
+	PromptTokens         int      // length of the prompt, in tokens
+	MaxOutputTokens      int      // maximum length of the output, in tokens
+	ExpectedOutputTokens int      // expected length of the output, in tokens; 0 if not given
+	LastEventID          string   // id of the last event that the caller has received
+	PromptPrefix         string   // identifies a prompt prefix that other requests may share
+	SharedParts          []string // ids of the prompt's parts that other requests may share, in order
 }
 
 // ForwardMetadata is the metadata that an entry sets in the header of a request
