process/gateway: test that a prompt part crashes one endpoint after the other

Also with an entry that starts, entries that are all killed, two poisoned parts at a time, and the same few requests again. The bounds are the operators': at most three arrivals from all entries together later than 3 s after the fifth crash, and sound requests served at least half as often as before.

--- /dev/null
+++ b/internal/process/gateway/crash_test.go
@@ -0,0 +1,365 @@
+package gateway_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/proof/script"
+)
+
+// The load of a crash test, and its bounds.
+const (
+	crashEndpoints   = 8
+	crashEvents      = 6
+	crashFirstEvent  = 60 * time.Millisecond  // until an endpoint begins to answer
+	crashAfterHeader = 30 * time.Millisecond  // from the header of a response until the crash
+	crashDown        = 600 * time.Millisecond // until an endpoint is back
+	soundInterval    = 25 * time.Millisecond  // between two sound requests
+	poisonInterval   = 120 * time.Millisecond // between two requests with a poisoned part
+
+	contactTime     = 3 * time.Second // after the fifth crash, in which entries must have learned
+	crashesToLearn  = 5
+	maxPoisonAfter  = 3 // arrivals after contactTime, from all entries together
+	observationTime = 4 * time.Second
+)
+
+// crashingEndpoint is an endpoint that crashes when it begins to answer a request with a
+// poisoned part, and comes back under another id.
+type crashingEndpoint struct {
+	load    *crashLoad
+	address string
+
+	mu     sync.Mutex
+	id     string
+	starts int
+	server *http.Server
+}
+
+func (e *crashingEndpoint) start() {
+	l, err := net.Listen("tcp", e.address)
+	if err != nil {
+		e.load.t.Error(err)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.starts++
+	previous := e.id
+	e.id = fmt.Sprintf("i-%s-%d", e.address, e.starts)
+	id := e.id
+	e.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(id, w, r) })}
+	go func(s *http.Server) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			e.load.t.Error(err)
+		}
+	}(e.server)
+	if previous != "" {
+		e.load.store.put("registrations", fulmardeal.Change{Key: previous, Gone: true})
+	}
+	r := fulmardeal.Registration{ID: id, Service: "shop", Address: e.address, DataCentre: "a", Slots: 8}
+	e.load.store.put("registrations", fulmardeal.Change{Key: id, Registration: &r})
+}
+
+// crash ends the endpoint's process with all its connections. It starts again later.
+func (e *crashingEndpoint) crash(id string) {
+	e.mu.Lock()
+	s := e.server
+	current := e.id == id && s != nil
+	e.server = nil
+	if !current {
+		e.server = s
+	}
+	e.mu.Unlock()
+	if !current {
+		return
+	}
+	s.Close()
+	e.load.recordCrash()
+	time.AfterFunc(crashDown, func() {
+		if !e.load.ended() {
+			e.start()
+		}
+	})
+}
+
+func (e *crashingEndpoint) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.server != nil {
+		e.server.Close()
+	}
+}
+
+func (e *crashingEndpoint) serve(id string, w http.ResponseWriter, r *http.Request) {
+	_, _ = io.ReadAll(r.Body)
+	if r.Header.Get("X-Fulmardeal-Expect-Instance") != id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	attempt := r.Header.Get("X-Fulmardeal-Attempt-Id")
+	poisoned := e.load.arrived(r.Header.Get("X-Fulmardeal-Prompt-Prefix"), r.Header.Get("X-Sent"))
+	time.Sleep(crashFirstEvent)
+	w.Header().Set("X-Fulmardeal-Attempt-Id", attempt)
+	w.Header().Set("X-Fulmardeal-Response-Stamp", "by-"+id)
+	_ = http.NewResponseController(w).Flush()
+	if poisoned {
+		time.Sleep(crashAfterHeader)
+		e.crash(id)
+		return
+	}
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for i := after + 1; i <= crashEvents; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(crashAfterHeader)
+	}
+}
+
+// crashLoad is the load of one case of testdata/crashes.txt.
+type crashLoad struct {
+	t      *testing.T
+	store  *memStore
+	parts  []string // poisoned parts
+	apart  bool     // the poisoned part is the only one that requests share
+	again  bool     // the same few requests come again
+	begin  time.Time
+	closed chan struct{}
+
+	mu       sync.Mutex
+	entries  []*testGateway
+	crashes  []time.Time
+	arrivals []time.Time // when requests with a poisoned part were sent that reached an endpoint
+	sound    []soundResult
+	refusals []time.Duration // how long refusals of requests with a poisoned part took, once the entries had learned
+}
+
+var errNoEntry = errors.New("no entry runs")
+
+type soundResult struct {
+	sent   time.Time
+	served bool
+}
+
+func (l *crashLoad) ended() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *crashLoad) recordCrash() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes = append(l.crashes, time.Now())
+}
+
+// learned returns when the entries must have learned, and false before the fifth crash.
+func (l *crashLoad) learned() (time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.crashes) < crashesToLearn {
+		return time.Time{}, false
+	}
+	return l.crashes[crashesToLearn-1].Add(contactTime), true
+}
+
+// arrived records the arrival of a request at an endpoint, and reports whether it has a
+// poisoned part.
+func (l *crashLoad) arrived(prefix, sent string) bool {
+	for _, part := range strings.Split(prefix, ",") {
+		if id, _, _ := strings.Cut(part, ":"); slices.Contains(l.parts, id) {
+			n, _ := strconv.ParseInt(sent, 10, 64)
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.arrivals = append(l.arrivals, time.UnixMicro(n))
+			return true
+		}
+	}
+	return false
+}
+
+// send sends one request to the n-th entry. It fails if no entry runs.
+func (l *crashLoad) send(n int, prefix string) (callResult, time.Time) {
+	sent := time.Now()
+	l.mu.Lock()
+	entries := l.entries
+	l.mu.Unlock()
+	if len(entries) == 0 {
+		return callResult{err: errNoEntry}, sent
+	}
+	w := entries[n%len(entries)]
+	return w.call("POST", "/stream/", func(r *http.Request) {
+		r.Header.Set("X-Fulmardeal-Prompt-Prefix", prefix)
+		r.Header.Set("X-Sent", strconv.FormatInt(sent.UnixMicro(), 10))
+	}), sent
+}
+
+// sendSound sends a sound request, which shares its first part with poisoned ones.
+func (l *crashLoad) sendSound(n int) {
+	a, sent := l.send(n, fmt.Sprintf("f%d:40,ab%d:30", n%3, n))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sound = append(l.sound, soundResult{sent: sent, served: a.status == http.StatusOK && a.err == nil})
+}
+
+// sendPoisoned sends a request with a poisoned part.
+func (l *crashLoad) sendPoisoned(n int) {
+	number := n
+	if l.again {
+		number = n % 2
+	}
+	prefix := fmt.Sprintf("f%d:40,%s:10,cd%d:30", number%3, l.parts[n%len(l.parts)], number)
+	if l.apart {
+		prefix = fmt.Sprintf("%s:10,cd%d:30", l.parts[n%len(l.parts)], number)
+	}
+	a, sent := l.send(n, prefix)
+	if by, ok := l.learned(); ok && sent.After(by) && a.status == http.StatusServiceUnavailable {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.refusals = append(l.refusals, time.Since(sent))
+	}
+}
+
+// repeat calls send at an interval, each time in a goroutine of its own, until the load ends.
+func (l *crashLoad) repeat(interval time.Duration, calls *sync.WaitGroup, send func(n int)) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-l.closed:
+			return
+		case <-t.C:
+			calls.Go(func() { send(n) })
+		}
+	}
+}
+
+func (l *crashLoad) startEntry(name string) *testGateway {
+	w := launchGateway(l.t, name, l.store, func(*testGateway) {})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = append(l.entries, w)
+	return w
+}
+
+// disturb does what else happens in a case.
+func (l *crashLoad) disturb(what string) {
+	switch what {
+	case "starts":
+		l.startEntry("front-late")
+	case "restart":
+		l.mu.Lock()
+		n := len(l.entries)
+		old := l.entries
+		l.entries = nil
+		l.mu.Unlock()
+		for _, w := range old {
+			w.kill()
+		}
+		for i := range n {
+			l.startEntry(fmt.Sprintf("front-%d-again", i))
+		}
+	}
+}
+
+func (l *crashLoad) run(entries int, what string) {
+	for range crashEndpoints {
+		e := &crashingEndpoint{load: l, address: newHost() + ":9100"}
+		e.start()
+		l.t.Cleanup(e.close)
+	}
+	c := catalogue(1)
+	c.Services[0].Connections = 400
+	l.store.put("operator", fulmardeal.Change{Key: "config", Catalogue: &c})
+	for i := range entries {
+		l.startEntry(fmt.Sprintf("front-%d", i))
+	}
+	var calls sync.WaitGroup
+	calls.Go(func() { l.repeat(soundInterval, &calls, l.sendSound) })
+	time.Sleep(time.Second)
+	l.begin = time.Now()
+	calls.Go(func() { l.repeat(poisonInterval, &calls, l.sendPoisoned) })
+	for wait := time.Now(); time.Since(wait) < 3*time.Second && len(l.crashTimes()) < crashesToLearn; {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	l.disturb(what)
+	time.Sleep(contactTime + observationTime)
+	close(l.closed)
+	calls.Wait()
+}
+
+func (l *crashLoad) crashTimes() []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.crashes)
+}
+
+// check checks the bounds of a load that has ended.
+func (l *crashLoad) check() {
+	from := l.begin.Add(2 * contactTime) // if there were fewer crashes than the bound allows
+	if by, ok := l.learned(); ok {
+		from = by
+		after := 0
+		for _, sent := range l.arrivals {
+			if sent.After(by) {
+				after++
+			}
+		}
+		if after > maxPoisonAfter {
+			l.t.Errorf("%d requests with a poisoned part reached endpoints more than %v after the fifth crash, want at most %d; %d crashes in all", after, contactTime, maxPoisonAfter, len(l.crashes))
+		}
+	}
+	share := func(keep func(s soundResult) bool) (float64, int) {
+		served, sent := 0, 0
+		for _, s := range l.sound {
+			if keep(s) {
+				sent++
+				if s.served {
+					served++
+				}
+			}
+		}
+		return float64(served) / float64(max(1, sent)), sent
+	}
+	before, n := share(func(s soundResult) bool { return s.sent.Before(l.begin) })
+	after, m := share(func(s soundResult) bool { return s.sent.After(from) })
+	if n < 20 || m < 20 || after < before/2 {
+		l.t.Errorf("%.2f of %d sound requests were served after the crashes, %.2f of %d before", after, m, before, n)
+	}
+	for _, d := range l.refusals {
+		if d > 200*time.Millisecond {
+			l.t.Errorf("a request with a poisoned part waited %v for its refusal", d)
+		}
+	}
+	l.t.Logf("%d crashes, %d arrivals of requests with poisoned parts, %.2f of sound requests served", len(l.crashes), len(l.arrivals), after)
+}
+
+// A part of a prompt that crashes endpoints must not crash one after the other.
+func TestPromptPartCrashesEndpointAfterEndpoint(t *testing.T) {
+	script.Run(t, "testdata/crashes.txt", func(f []string) error {
+		entries, err := strconv.Atoi(f[0])
+		if err != nil {
+			return err
+		}
+		t.Run(strings.Join(f, " "), func(t *testing.T) {
+			t.Parallel()
+			l := &crashLoad{t: t, store: newMemStore(), parts: strings.Split(f[1], ","), apart: f[2] == "apart", again: f[2] == "again", closed: make(chan struct{})}
+			l.run(entries, f[2])
+			l.check()
+		})
+		return nil
+	})
+}
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -87,11 +87,15 @@
 	}
 }
 
-func (m *memStore) Operator() fulmardeal.Feed                              { return topicFeed{m, "operator"} }
-func (m *memStore) Registrations() fulmardeal.Feed                         { return topicFeed{m, "registrations"} }
-func (m *memStore) Entries() fulmardeal.Feed                               { return topicFeed{m, "entries"} }
-func (m *memStore) Announce(context.Context, string, string, string) error { return nil }
-func (m *memStore) Era() int64                                             { return 0 }
+func (m *memStore) Operator() fulmardeal.Feed      { return topicFeed{m, "operator"} }
+func (m *memStore) Registrations() fulmardeal.Feed { return topicFeed{m, "registrations"} }
+func (m *memStore) Entries() fulmardeal.Feed       { return topicFeed{m, "entries"} }
+func (m *memStore) Era() int64                     { return 0 }
+
+func (m *memStore) Announce(_ context.Context, name, address, dataCentre string) error {
+	m.put("entries", fulmardeal.Change{Key: name, Address: address, DataCentre: dataCentre})
+	return nil
+}
 
 // testGateway is a gateway under test with its store and endpoints.
 type testGateway struct {
@@ -99,6 +103,7 @@
 	store    *memStore
 	address  string
 	stop     context.CancelFunc
+	kill     func() // ends the gateway at once, without a graceful shutdown
 	done     chan error
 	received sync.Map // number of requests received by endpoints, by attempt id
 	bounds   fulmardeal.Bounds
@@ -167,7 +172,16 @@
 
 func startGateway(t *testing.T, build func(w *testGateway)) *testGateway {
 	t.Helper()
-	w := &testGateway{t: t, store: newMemStore(), done: make(chan error, 1), codec: platform.Codec{}, log: slog.DiscardHandler}
+	return launchGateway(t, "front-1", newMemStore(), func(w *testGateway) {
+		w.configure(catalogue(1))
+		build(w)
+	})
+}
+
+// launchGateway starts an entry with a store that other entries may share.
+func launchGateway(t *testing.T, name string, store *memStore, build func(w *testGateway)) *testGateway {
+	t.Helper()
+	w := &testGateway{t: t, store: store, done: make(chan error, 1), codec: platform.Codec{}, log: slog.DiscardHandler}
 	// On an address of its own, no outgoing connection of another test takes the port.
 	l, err := net.Listen("tcp", newHost()+":0")
 	if err != nil {
@@ -179,10 +193,9 @@
 		Drain: 300 * time.Millisecond, Grace: 5 * time.Second, KeyRevocation: 2500 * time.Millisecond, VersionSwitch: 8 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second, ColdRateFactor: 1,
 	}
-	w.configure(catalogue(1))
 	build(w)
 	settings := fulmardeal.Settings{
-		Name: "front-1", IP: newHost(), DataCentre: "a", Region: "south", Regions: map[string]string{"a": "south", "b": "north"},
+		Name: name, IP: newHost(), DataCentre: "a", Region: "south", Regions: map[string]string{"a": "south", "b": "north"},
 		CallerAddress: w.address, ReadinessAddress: "127.0.0.1:0", PortRange: [2]int{7700, 7715},
 		Bounds: w.bounds,
 	}
@@ -193,10 +206,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w.stop = cancel
 	go func() { w.done <- g.Run(ctx) }()
-	t.Cleanup(func() {
+	w.kill = sync.OnceFunc(func() {
 		cancel()
 		cleanup()
 	})
+	t.Cleanup(w.kill)
 	for range 1000 {
 		if w.store.applied("operator") && w.store.applied("registrations") && w.call("GET", "/none/", nil).status == http.StatusNotFound {
 			return w
