--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"fulmardeal"
 	"fulmardeal/internal/traffic/dispatch"
 	"fulmardeal/internal/traffic/forward"
+	"fulmardeal/internal/traffic/quarantine"
 )
 
 // attemptResult is the result of an attempt, as far as it matters for a retry.
@@ -30,12 +31,16 @@
 type attempt struct {
 	call        *call // only fields that don't change while attempts run, and updates
 	reservation *dispatch.Reservation
+	permit      *quarantine.Permit
 	request     forward.Request
 	resumed     bool // the caller already has part of the response
 	cancel      context.CancelFunc
 	withdraw    context.CancelFunc // ends the exchange, but not the report of its end
 	begun       atomic.Bool        // the endpoint has begun to answer
-	events      int                // events received; belongs to the attempt's goroutine
+
+	// These fields belong to the attempt's goroutine.
+	sent   time.Time
+	events int // events received
 
 	// The fields below belong to the call.
 	cancelled bool
@@ -59,6 +64,7 @@
 // exchange is derived from ctx.
 func (a *attempt) run(ctx, exchange context.Context) {
 	u := a.tryExchange(exchange)
+	a.permit.Done()
 	a.reservation.Release(u.outcome)
 	u.attempt, u.ended = a, true
 	a.report(ctx, u)
@@ -96,6 +102,7 @@
 	g := c.gateway
 	e := a.reservation.Endpoint()
 	sent := time.Now()
+	a.sent = sent
 	x, err := g.pool.Send(ctx, e.Address(), a.request, c.maxIdleTime(), noDeadline)
 	if err != nil {
 		return a.failure(ctx, err, sent, false)
@@ -147,6 +154,9 @@
 			a.reservation.RecordEvent()
 			a.events += countEvents(events)
 			lastHeard, started = time.Now(), true
+			if a.answering() {
+				a.permit.Begun(lastHeard)
+			}
 			a.report(ctx, update{attempt: a, status: x.Status(), header: x.Header(), weights: r.WeightsVersion, events: events})
 			pending = append([]byte(nil), partial...) // the call may still use the events
 		}
@@ -156,6 +166,7 @@
 				c.log.Warn("stream ended within an event or before the first", "endpoint", id, "begun", started)
 				return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 			}
+			a.permit.Begun(time.Now())
 			x.Release(r.IdleTimeout)
 			return update{result: finished, outcome: dispatch.OutcomeServed, weights: r.WeightsVersion}
 		case err != nil:
@@ -177,6 +188,7 @@
 		return a.failure(ctx, err, sent, false)
 	}
 	a.reservation.RecordEvent()
+	a.permit.Begun(time.Now())
 	x.Release(r.IdleTimeout)
 	u := update{response: &endpointResponse{status: x.Status(), header: x.Header(), body: body}, outcome: dispatch.OutcomeServed}
 	if x.Status() >= http.StatusInternalServerError {
@@ -206,7 +218,10 @@
 		point = "event"
 	}
 	c.log.Warn("endpoint failed", "endpoint", e.ID(), "unsent", isUnsent, "err", err, "silence", time.Since(lastHeard), "point", point,
-		"events", a.events, "crashed", crashed, "parts", strings.Join(c.metadata.SharedParts, ","))
+		"events", a.events, "crashed", crashed, "parts", strings.Join(c.metadata.PromptParts, ","))
+	if crashed {
+		a.permit.Crashed(time.Now(), quarantine.Crash{Endpoint: e.ID(), Attempt: c.metadata.AttemptID, Sent: a.sent})
+	}
 	c.gateway.pool.CloseIdle(e.Address())
 	if isUnsent {
 		return update{result: notRun, outcome: dispatch.OutcomeFailed}
--- a/internal/process/gateway/crash_test.go
+++ b/internal/process/gateway/crash_test.go
@@ -165,14 +165,15 @@
 	l.crashes = append(l.crashes, time.Now())
 }
 
-// learned returns when the entries must have learned, and false before the fifth crash.
+// learned returns when the entries must have learned: contactTime after the fifth crash, or
+// after the last one if there are fewer. It returns false before the first one.
 func (l *crashLoad) learned() (time.Time, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.crashes) < crashesToLearn {
+	if len(l.crashes) == 0 {
 		return time.Time{}, false
 	}
-	return l.crashes[crashesToLearn-1].Add(contactTime), true
+	return l.crashes[min(len(l.crashes), crashesToLearn)-1].Add(contactTime), true
 }
 
 // arrived records the arrival of a request at an endpoint, and reports whether it has a
@@ -309,7 +310,7 @@
 
 // check checks the bounds of a load that has ended.
 func (l *crashLoad) check() {
-	from := l.begin.Add(2 * contactTime) // if there were fewer crashes than the bound allows
+	from := l.begin
 	if by, ok := l.learned(); ok {
 		from = by
 		after := 0
@@ -319,7 +320,7 @@
 			}
 		}
 		if after > maxPoisonAfter {
-			l.t.Errorf("%d requests with a poisoned part reached endpoints more than %v after the fifth crash, want at most %d; %d crashes in all", after, contactTime, maxPoisonAfter, len(l.crashes))
+			l.t.Errorf("%d requests with a poisoned part reached endpoints more than %v after the fifth or last crash, want at most %d; %d crashes in all", after, contactTime, maxPoisonAfter, len(l.crashes))
 		}
 	}
 	share := func(keep func(s soundResult) bool) (float64, int) {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"fulmardeal/internal/traffic/budget"
 	"fulmardeal/internal/traffic/dispatch"
 	"fulmardeal/internal/traffic/forward"
+	"fulmardeal/internal/traffic/quarantine"
 	"fulmardeal/internal/traffic/sharing"
 )
 
@@ -109,6 +110,7 @@
 // Store is the part of the platform's store that a gateway uses.
 type Store interface {
 	sharing.Announcer
+	PutQuarantine(ctx context.Context, q fulmardeal.Quarantine) error
 	Operator() fulmardeal.Feed
 	Registrations() fulmardeal.Feed
 	Entries() fulmardeal.Feed
@@ -130,6 +132,7 @@
 type Gateway struct {
 	settings       fulmardeal.Settings
 	codec          Codec
+	store          Store
 	log            *slog.Logger
 	catalogue      catalogue.Table
 	roster         roster.Roster
@@ -150,7 +153,8 @@
 	leaving           atomic.Bool
 	configured        atomic.Pointer[time.Time] // when operators' changes last took effect; nil if never
 
-	crashes crashChecks
+	crashes    crashChecks
+	quarantine *quarantine.Table
 
 	mu           sync.Mutex
 	retryBudgets map[string]*budget.RetryBudget // keyed by the service's name
@@ -170,6 +174,7 @@
 	g := &Gateway{
 		settings:       o.Settings,
 		codec:          o.Codec,
+		store:          o.Store,
 		log:            o.Log,
 		stats:          stats,
 		metricsAddress: o.Metrics,
@@ -179,12 +184,13 @@
 	g.table = dispatch.New(dispatch.Options{
 		DataCentre: o.Settings.DataCentre, Region: o.Settings.Region, Regions: o.Settings.Regions, Bounds: o.Settings.Bounds, Seed: o.Seed,
 	})
+	g.quarantine = quarantine.New(quarantine.Options{Entry: o.Settings.Name, Seed: o.Seed})
 	pool, closePool := forward.NewPool(maxBufferedBytes(o.Settings.MemoryLimit))
 	g.pool = pool
 	cleanups = append(cleanups, closePool)
 	address := net.JoinHostPort(o.Settings.IP, itoa(o.Settings.PortRange[0]))
 	mesh, closeMesh, err := sharing.NewMesh(sharing.Options{
-		Name: o.Settings.Name, DataCentre: o.Settings.DataCentre, Regions: o.Settings.Regions, Listen: address, Table: g.table, EntryFeed: o.Store.Entries(), Announcer: o.Store,
+		Name: o.Settings.Name, DataCentre: o.Settings.DataCentre, Regions: o.Settings.Regions, Listen: address, Table: g.table, Quarantine: g.quarantine, EntryFeed: o.Store.Entries(), Announcer: o.Store,
 		Targets: func() []catalogue.Target { return g.catalogue.View().Targets() }, Agents: g.agents, AgentPort: uint16(o.Settings.PortRange[0]), Log: o.Log,
 	})
 	if err != nil {
@@ -349,6 +355,7 @@
 	group.Go(g.rpcServer.Serve)
 	group.Go(func() error { return g.mesh.Run(work) })
 	group.Go(func() error { g.tick(work); return nil })
+	group.Go(func() error { g.storeQuarantines(work); return nil })
 	group.Go(func() error { return monitor.Serve(work, g.metricsAddress, g.stats.reporter, g.dump, g.dumpWriter) })
 	group.Go(func() error {
 		defer stop()
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -92,6 +92,15 @@
 func (m *memStore) Entries() fulmardeal.Feed       { return topicFeed{m, "entries"} }
 func (m *memStore) Era() int64                     { return 0 }
 
+func (m *memStore) PutQuarantine(_ context.Context, q fulmardeal.Quarantine) error {
+	c := fulmardeal.Change{Key: "quarantine/" + strings.Join(q.Parts, ","), Quarantine: &q}
+	if q.Released {
+		c = fulmardeal.Change{Key: c.Key, Gone: true}
+	}
+	m.put("entries", c)
+	return nil
+}
+
 func (m *memStore) Announce(_ context.Context, name, address, dataCentre string) error {
 	m.put("entries", fulmardeal.Change{Key: name, Address: address, DataCentre: dataCentre})
 	return nil
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +19,7 @@
 	"fulmardeal/internal/fleet/catalogue"
 	"fulmardeal/internal/traffic/dispatch"
 	"fulmardeal/internal/traffic/forward"
+	"fulmardeal/internal/traffic/quarantine"
 )
 
 // Limits and defaults of one request.
@@ -232,6 +234,21 @@
 	c.refuse(http.StatusServiceUnavailable, string(refused.Reason), refused.RetryAfter)
 }
 
+// handleHeldError handles a request that is kept from endpoints because of its parts.
+func (c *call) handleHeldError(ctx context.Context, err error) {
+	var held *quarantine.HeldError
+	if !errors.As(err, &held) {
+		held = &quarantine.HeldError{Reason: quarantine.ReasonQuarantined}
+	}
+	c.gateway.stats.count(string(held.Reason), c.service)
+	if c.runs > 0 || c.progress.started {
+		c.giveUp(ctx, string(held.Reason))
+		return
+	}
+	c.log.Info("refused", "reason", held.Reason, "service", c.service, "after", held.RetryAfter, "parts", strings.Join(held.Parts, ","), "version", c.version)
+	c.refuse(http.StatusServiceUnavailable, string(held.Reason), held.RetryAfter)
+}
+
 // giveUp ends the request with the best response that there is. A request that
 // may have run is never reported as not run.
 func (c *call) giveUp(ctx context.Context, reason string) {
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"fulmardeal"
 	"fulmardeal/internal/traffic/dispatch"
+	"fulmardeal/internal/traffic/quarantine"
 )
 
 // Limits and intervals of the attempts of one request.
@@ -58,18 +60,39 @@
 // running. If there is no slot, it ends the request and returns false.
 func (c *call) startNext(ctx context.Context) bool {
 	start := time.Now()
-	reservation, err := c.gateway.table.Reserve(ctx, c.dispatchRequest())
+	request := c.dispatchRequest()
+	var err error
+	if request.AvoidedWeights, err = c.gateway.quarantine.Check(start, c.service, c.metadata.PromptParts); err != nil {
+		c.handleHeldError(ctx, err)
+		return false
+	}
+	reservation, err := c.gateway.table.Reserve(ctx, request)
 	c.queueTime += time.Since(start)
 	if err != nil {
 		c.handleReserveError(ctx, err)
 		return false
 	}
-	c.start(ctx, reservation)
+	permit, err := c.enter(reservation)
+	if err != nil {
+		c.handleHeldError(ctx, err)
+		return false
+	}
+	c.start(ctx, reservation, permit)
 	return true
 }
 
+// enter asks whether the request may be sent to an endpoint with regard to its parts. If
+// not, it releases the slot.
+func (c *call) enter(reservation *dispatch.Reservation) (*quarantine.Permit, error) {
+	permit, err := c.gateway.quarantine.Enter(time.Now(), c.service, c.metadata.PromptParts, reservation.Weights())
+	if err != nil {
+		reservation.Release(dispatch.OutcomeCancelled)
+	}
+	return permit, err
+}
+
 // start starts an attempt.
-func (c *call) start(ctx context.Context, reservation *dispatch.Reservation) {
+func (c *call) start(ctx context.Context, reservation *dispatch.Reservation, permit *quarantine.Permit) {
 	forwarded := fulmardeal.ForwardMetadata{
 		Instance:       reservation.Endpoint().ID(),
 		Deadline:       time.Until(c.deadline),
@@ -85,7 +108,7 @@
 	request.Header = c.gateway.codec.ForwardHeader(c.request.Header, forwarded)
 	ctx, cancel := context.WithCancel(ctx)
 	exchange, withdraw := context.WithCancel(ctx)
-	a := &attempt{call: c, reservation: reservation, request: request, resumed: c.progress.started, cancel: cancel, withdraw: withdraw}
+	a := &attempt{call: c, reservation: reservation, permit: permit, request: request, resumed: c.progress.started, cancel: cancel, withdraw: withdraw}
 	c.attempts = append(c.attempts, a)
 	c.sends++
 	c.silenceTimer.Reset(c.silenceTimeout())
@@ -94,7 +117,8 @@
 }
 
 // checkWeights withdraws the request from endpoints that have not begun to answer it and
-// whose weights may not be used any longer. Weights may be superseded while it waits.
+// whose weights may not be used any longer, or not for its parts. Weights may be
+// superseded, and parts quarantined, while it waits.
 func (c *call) checkWeights(now time.Time) {
 	next := weightsCheckInterval
 	waiting := false
@@ -103,6 +127,11 @@
 			continue
 		}
 		waiting = true
+		if a.permit.Condemned() {
+			c.log.Info("request withdrawn: its parts have been quarantined", "endpoint", a.reservation.Endpoint().ID(), "parts", strings.Join(c.metadata.PromptParts, ","))
+			a.withdraw()
+			continue
+		}
 		by := a.reservation.StartBy()
 		switch {
 		case by.IsZero():
--- a/internal/process/gateway/silence.go
+++ b/internal/process/gateway/silence.go
@@ -55,15 +55,27 @@
 		c.silenceTimer.Reset(slotPollInterval)
 		return
 	}
-	reservation, ok := c.gateway.table.TryReserve(c.dispatchRequest())
+	request := c.dispatchRequest()
+	var err error
+	if request.AvoidedWeights, err = c.gateway.quarantine.Check(time.Now(), c.service, c.metadata.PromptParts); err != nil {
+		budget.Refund()
+		return
+	}
+	reservation, ok := c.gateway.table.TryReserve(request)
 	if !ok {
 		budget.Refund()
 		c.silenceTimer.Reset(slotPollInterval)
 		return
 	}
+	permit, err := c.enter(reservation)
+	if err != nil {
+		budget.Refund()
+		c.silenceTimer.Reset(slotPollInterval)
+		return
+	}
 	c.log.Info("second attempt started", "endpoint", reservation.Endpoint().ID(), "events", c.progress.events)
 	c.gateway.stats.count("second_attempts", c.service)
-	c.start(ctx, reservation)
+	c.start(ctx, reservation, permit)
 }
 
 // recordSilence records the silence of the attempts in progress, once for each. The idle
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fulmardeal"
 	"fulmardeal/internal/fleet/catalogue"
 	"fulmardeal/internal/traffic/dispatch"
 )
@@ -23,6 +24,7 @@
 	s.Gauge("entries").Update(float64(1 + g.mesh.PeerCount()))
 	s.Gauge("dialed").Update(float64(dialed))
 	s.Gauge("reused").Update(float64(reused))
+	s.Gauge("quarantines").Update(float64(len(g.quarantine.Quarantines())))
 	s.Gauge("ready").Update(0)
 	if ready {
 		s.Gauge("ready").Update(1)
@@ -37,6 +39,8 @@
 	Ready     string                   `json:"ready"`
 	Targets   []catalogue.Target       `json:"targets"`
 	Endpoints []dispatch.EndpointState `json:"endpoints"`
+
+	Quarantines []fulmardeal.Quarantine `json:"quarantines"`
 }
 
 func (g *Gateway) dump() any {
@@ -45,6 +49,7 @@
 	s := State{
 		Name: g.settings.Name, Version: g.catalogue.View().Version(), Age: "never", Ready: reason,
 		Targets: g.catalogue.View().Targets(), Endpoints: g.table.EndpointStates(time.Now()),
+		Quarantines: g.quarantine.Quarantines(),
 	}
 	if known {
 		s.Age = age.String()
--- a/internal/traffic/dispatch/selection.go
+++ b/internal/traffic/dispatch/selection.go
@@ -54,6 +54,7 @@
 	HomeRegions     [][]string // one list of permitted regions from the route, one from the customer; an empty list permits all
 	PromptTokens    int
 	RequiredWeights int64         // version of the weights; 0 permits any
+	AvoidedWeights  []int64       // versions of the weights that must not serve it
 	Tried           []string      // ids of endpoints that must not be tried again
 	Resumed         bool          // the caller already has part of the response; the rest is still to be generated
 	Fingerprint     uint64        // hash of the content, equal for a retry of the same request
@@ -130,7 +131,7 @@
 	if e.engine() == nil {
 		return true
 	}
-	if e.weights == 0 || req.RequiredWeights != 0 && e.weights != req.RequiredWeights {
+	if e.weights == 0 || req.RequiredWeights != 0 && e.weights != req.RequiredWeights || slices.Contains(req.AvoidedWeights, e.weights) {
 		return false
 	}
 	return f.weightsUsable(e.weights)
--- /dev/null
+++ b/internal/traffic/quarantine/evidence.go
@@ -0,0 +1,185 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Retention of the evidence.
+const (
+	crashRetention = 10 * time.Minute
+	clearRetention = 5 * time.Second // of a crash whose parts have all been cleared, so that other entries learn it
+	maxCrashes     = 256
+	soundRetention = time.Minute // how long an answer that has begun speaks for the parts of its request
+	maxBegunParts  = 1 << 14     // parts per generation of begun
+)
+
+// crash is one request that an endpoint had not begun to answer when it crashed.
+type crash struct {
+	id      partKey // hash of the endpoint's id and the request's
+	parts   []partKey
+	weights int64 // version of the endpoint's weights
+	sent    time.Time
+	at      time.Time // of the crash
+	own     bool      // seen by this entry
+	cleared time.Time // when all parts had been cleared; zero before
+}
+
+// begin is the latest answer that began on a part.
+type begin struct {
+	weights int64
+	at      time.Time
+}
+
+// evidence holds crashes, and answers that have begun.
+type evidence struct {
+	crashes []*crash             // in the order of their time
+	byPart  map[partKey][]*crash // the same, by part
+
+	// begun and begunBefore hold the latest begins of each part, one for each version
+	// of the weights. When begun is full, it becomes begunBefore.
+	begun, begunBefore map[partKey][]begin
+}
+
+func newEvidence() evidence {
+	return evidence{byPart: make(map[partKey][]*crash), begun: make(map[partKey][]begin)}
+}
+
+// mentions reports whether a crash involves the part.
+func (e *evidence) mentions(key partKey) bool { return len(e.byPart[key]) > 0 }
+
+// begins returns the latest begins of a part, one for each version of the weights.
+func (e *evidence) begins(key partKey) []begin {
+	if b, ok := e.begun[key]; ok {
+		return b
+	}
+	return e.begunBefore[key]
+}
+
+// recordBegin records that an answer began. It reports whether that is news to the other
+// entries, because a crash involves the part.
+func (e *evidence) recordBegin(key partKey, b begin) bool {
+	if len(e.begun) >= maxBegunParts {
+		e.begun, e.begunBefore = make(map[partKey][]begin), e.begun
+	}
+	list := e.begins(key)
+	i := slices.IndexFunc(list, func(o begin) bool { return o.weights == b.weights })
+	var before time.Time
+	if i < 0 {
+		list = append(slices.Clone(list), b)
+	} else if before = list[i].at; b.at.After(before) {
+		list[i] = b
+	}
+	e.begun[key] = list
+	return slices.ContainsFunc(e.byPart[key], func(c *crash) bool {
+		return c.weights == b.weights && before.Before(c.at) && !b.at.Before(c.at)
+	})
+}
+
+// known reports whether an answer began on the part since soundRetention before the given
+// time.
+func (e *evidence) known(key partKey, at time.Time) bool {
+	return slices.ContainsFunc(e.begins(key), func(b begin) bool { return at.Sub(b.at) < soundRetention })
+}
+
+// clears reports whether an answer on the part began after the crash, with the same
+// weights.
+func (e *evidence) clears(key partKey, c *crash) bool {
+	return slices.ContainsFunc(e.begins(key), func(b begin) bool { return b.weights == c.weights && !b.at.Before(c.at) })
+}
+
+// add adds a crash unless it is known.
+func (e *evidence) add(now time.Time, c *crash) bool {
+	e.expire(now)
+	if slices.ContainsFunc(e.crashes, func(o *crash) bool { return o.id == c.id }) {
+		return false
+	}
+	if len(e.crashes) >= maxCrashes {
+		e.remove(e.crashes[0])
+	}
+	i, _ := slices.BinarySearchFunc(e.crashes, c.at, func(o *crash, at time.Time) int { return o.at.Compare(at) })
+	e.crashes = slices.Insert(e.crashes, i, c)
+	for _, key := range c.parts {
+		e.byPart[key] = append(e.byPart[key], c)
+	}
+	return true
+}
+
+func (e *evidence) remove(c *crash) {
+	e.crashes = slices.DeleteFunc(e.crashes, func(o *crash) bool { return o == c })
+	for _, key := range c.parts {
+		if e.byPart[key] = slices.DeleteFunc(e.byPart[key], func(o *crash) bool { return o == c }); len(e.byPart[key]) == 0 {
+			delete(e.byPart, key)
+		}
+	}
+}
+
+// expire removes crashes that are old, or whose parts have been cleared.
+func (e *evidence) expire(now time.Time) {
+	for _, c := range slices.Clone(e.crashes) {
+		if c.cleared.IsZero() && !slices.ContainsFunc(c.parts, func(key partKey) bool { return !e.clears(key, c) }) {
+			c.cleared = now
+		}
+		if now.Sub(c.at) > crashRetention || !c.cleared.IsZero() && now.Sub(c.cleared) > clearRetention {
+			e.remove(c)
+		}
+	}
+}
+
+// blames returns the parts that may have caused the crash: those that have not been
+// cleared since. If answers have never begun on some of them, only these.
+func (e *evidence) blames(c *crash) []partKey {
+	var uncleared, unknown []partKey
+	for _, key := range c.parts {
+		if e.clears(key, c) {
+			continue
+		}
+		uncleared = append(uncleared, key)
+		if !e.known(key, c.at) {
+			unknown = append(unknown, key)
+		}
+	}
+	if len(unknown) > 0 {
+		return unknown
+	}
+	return uncleared
+}
+
+// blamed returns the crashes that the part may have caused.
+func (e *evidence) blamed(now time.Time, key partKey) []*crash {
+	var out []*crash
+	for _, c := range e.byPart[key] {
+		if now.Sub(c.at) <= crashRetention && slices.Contains(e.blames(c), key) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// last returns the latest crash that involves the part, or nil if there is none.
+func (e *evidence) last(key partKey) *crash {
+	var out *crash
+	for _, c := range e.byPart[key] {
+		if out == nil || c.at.After(out.at) {
+			out = c
+		}
+	}
+	return out
+}
+
+// successive returns how many of the crashes happened one after the other, so that each
+// of their requests was sent after the crash before. Requests that were in progress at
+// the same time don't add up: many endpoints may end at the same moment for a reason that
+// has nothing to do with them.
+func successive(crashes []*crash) int {
+	sorted := slices.SortedFunc(slices.Values(crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
+	count := 0
+	var end time.Time
+	for _, c := range sorted {
+		if count == 0 || !c.sent.Before(end) {
+			count++
+			end = c.at
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/traffic/quarantine/permit.go
@@ -0,0 +1,126 @@
+package quarantine
+
+import "time"
+
+// Permit allows one attempt at one endpoint.
+type Permit struct {
+	table   *Table
+	service string
+	names   []string
+	parts   []partKey // in the order of names
+	weights int64
+	trials  map[partKey]*trial // the suspect parts that it tries
+	probed  partKey            // hash of the parts whose verdict it probes; 0 for none
+	begun   bool
+}
+
+// Crash is the end of an endpoint that had not begun to answer a request.
+type Crash struct {
+	Endpoint string    // id of the endpoint's incarnation
+	Attempt  string    // id of the request
+	Sent     time.Time // when the request was sent
+}
+
+// name returns the id of a part of the request.
+func (p *Permit) name(key partKey) string {
+	for i, k := range p.parts {
+		if k == key {
+			return p.names[i]
+		}
+	}
+	return ""
+}
+
+// Suspect reports whether the request tries a suspect part.
+func (p *Permit) Suspect() bool { return len(p.trials) > 0 }
+
+// Condemned reports whether the request must be withdrawn, because a verdict on its parts
+// has been passed since.
+func (p *Permit) Condemned() bool {
+	t := p.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p.begun || p.probed != 0 || t.verdicts.empty() {
+		return false
+	}
+	v := t.verdicts.match(p.parts)
+	return v != nil && !t.evidence.soundWith(v, p.weights)
+}
+
+// Begun records that the endpoint has begun to answer, which clears the parts.
+func (p *Permit) Begun(now time.Time) {
+	t := p.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p.begun {
+		return
+	}
+	p.begun = true
+	t.lossRate(p.service).record(false)
+	for i, key := range p.parts {
+		// The last part comes once, so it is recorded only while it is suspect.
+		if i == len(p.parts)-1 && !t.evidence.mentions(key) {
+			continue
+		}
+		if t.evidence.recordBegin(key, begin{weights: p.weights, at: now}) {
+			t.changed = now
+		}
+	}
+	t.release(now, p)
+}
+
+// Crashed records that the endpoint crashed before it had begun to answer.
+func (p *Permit) Crashed(now time.Time, c Crash) {
+	t := p.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p.begun || len(p.parts) == 0 {
+		return
+	}
+	ordinary := true
+	for _, key := range p.parts[:len(p.parts)-1] {
+		ordinary = ordinary && t.evidence.known(key, now)
+	}
+	if ordinary {
+		t.lossRate(p.service).record(true)
+	}
+	t.evidence.add(now, &crash{
+		id: keyOf(c.Endpoint, c.Attempt), parts: sample(p.parts, keyOf(c.Endpoint, "")), weights: p.weights,
+		sent: c.Sent, at: now, own: true,
+	})
+	t.changed = now
+	if p.probed != 0 {
+		t.verdicts.probeFailed(now, p.probed)
+	}
+	t.condemn(now, p)
+}
+
+// Done ends the attempt. Further calls have no effect.
+func (p *Permit) Done() {
+	t := p.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key, x := range p.trials {
+		if t.trials[key] == x {
+			delete(t.trials, key)
+			t.changed = time.Now()
+		}
+	}
+	p.trials = nil
+}
+
+// maxPartsPerCrash limits the parts of one crash that are kept and reported.
+const maxPartsPerCrash = 32
+
+// sample returns at most maxPartsPerCrash parts. Which ones depends on the endpoint, so
+// that several crashes together cover all parts of a long prompt.
+func sample(parts []partKey, endpoint partKey) []partKey {
+	if len(parts) <= maxPartsPerCrash {
+		return parts
+	}
+	out := make([]partKey, maxPartsPerCrash)
+	for i := range out {
+		out[i] = parts[(uint64(endpoint)+uint64(i))%uint64(len(parts))]
+	}
+	return out
+}
--- /dev/null
+++ b/internal/traffic/quarantine/table.go
@@ -0,0 +1,254 @@
+// Package quarantine finds out which part of a prompt crashes endpoints, and keeps
+// requests with that part away from them. It holds what one entry knows, from its own
+// requests and from the reports of other entries, and sends nothing itself.
+//
+// It works as a group test. When an endpoint crashes, the suspects are the parts of the
+// requests that it had not begun to answer. An answer that begins clears the parts of its
+// request. Requests with a suspect part are sent one at a time, and a part that is left
+// after several crashes, one after the other, is quarantined.
+package quarantine
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Times and limits of a table.
+const (
+	// trialTTL is how long a trial keeps other requests with its parts back. An
+	// endpoint that answers at all begins sooner.
+	trialTTL = 2 * time.Second
+
+	// trialDelay is how long the other entries leave the trials of a suspect to the
+	// entry that saw the crash. It covers a trial and its report.
+	trialDelay = 300 * time.Millisecond
+
+	// maxTrialDelay limits the wait of the entries that come last.
+	maxTrialDelay = 3 * time.Second
+
+	// suspectRetry is the Retry-After of a request that is kept back during a trial.
+	suspectRetry = 300 * time.Millisecond
+
+	// peerTTL is how long after its last report another entry counts as live.
+	peerTTL = 3 * time.Second
+)
+
+// Options configures a Table.
+type Options struct {
+	Entry string // name of this entry
+	Seed  uint64
+}
+
+// Table holds the evidence and the verdicts. It is safe for concurrent use.
+type Table struct {
+	options Options
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	evidence  evidence
+	trials    map[partKey]*trial // of this entry
+	peers     map[string]*peer   // by name of the other entry
+	verdicts  verdicts
+	baseline  map[string]*lossRate // by service
+	reporting reporting
+	changed   time.Time // when something changed that other entries should know at once
+}
+
+// partKey identifies a part of the prompts of one service.
+type partKey uint64
+
+func keyOf(service, part string) partKey {
+	var h xxhash.Digest
+	_, _ = h.WriteString(service) // a Digest never returns an error
+	_, _ = h.WriteString("\x00")
+	_, _ = h.WriteString(part)
+	return partKey(h.Sum64())
+}
+
+// trial is a request with a suspect part that is in progress.
+type trial struct {
+	began time.Time
+}
+
+// peer is what another entry has reported last.
+type peer struct {
+	heard  time.Time
+	trials map[partKey]time.Time // when each trial began
+}
+
+// New returns an empty table.
+func New(o Options) *Table {
+	return &Table{
+		options:  o,
+		rng:      rand.New(rand.NewPCG(o.Seed, 7)),
+		evidence: newEvidence(),
+		trials:   make(map[partKey]*trial),
+		peers:    make(map[string]*peer),
+		verdicts: newVerdicts(),
+		baseline: make(map[string]*lossRate),
+	}
+}
+
+// Reason says why a request is kept from endpoints.
+type Reason string
+
+// Reasons.
+const (
+	ReasonQuarantined Reason = "quarantined" // its prompt has a part that crashes endpoints
+	ReasonSuspect     Reason = "suspect"     // a request with a suspect part is in progress
+)
+
+// HeldError is the error for a request that may not be sent to an endpoint.
+type HeldError struct {
+	Reason     Reason
+	Parts      []string      // the parts because of which it is held
+	RetryAfter time.Duration // when the caller may come back
+}
+
+func (e *HeldError) Error() string { return "request held back: " + string(e.Reason) }
+
+// Check tells before an endpoint is selected whether a request with the given parts may
+// be sent to any endpoint. It returns the versions of the weights that must not serve it,
+// or a *HeldError.
+func (t *Table) Check(now time.Time, service string, parts []string) ([]int64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	keys := t.knownKeys(service, parts)
+	if len(keys) == 0 {
+		return nil, nil
+	}
+	v := t.verdicts.match(keys)
+	if v == nil || t.mayProbe(now, v, keys) {
+		return nil, nil
+	}
+	if t.evidence.soundElsewhere(v) {
+		return v.weights, nil
+	}
+	return nil, t.held(now, v)
+}
+
+// Enter asks to send a request with the given parts to an endpoint with a version of the
+// weights. The last part is that of the request itself. The caller must call Done on the
+// permit. The error is a *HeldError.
+func (t *Table) Enter(now time.Time, service string, parts []string, weights int64) (*Permit, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := &Permit{table: t, service: service, names: parts, weights: weights}
+	for _, part := range parts {
+		p.parts = append(p.parts, keyOf(service, part))
+	}
+	if v := t.verdicts.match(p.parts); v != nil && !t.evidence.soundWith(v, weights) {
+		if !t.mayProbe(now, v, p.parts) {
+			return nil, t.held(now, v)
+		}
+		t.startTrial(now, p, v.keys)
+		p.probed = setKey(v.keys)
+		return p, nil
+	}
+	if v := t.condemn(now, p); v != nil {
+		return nil, t.held(now, v)
+	}
+	suspects := t.suspects(now, p.parts)
+	for _, key := range suspects {
+		if !t.mayTry(now, key) {
+			return nil, &HeldError{Reason: ReasonSuspect, Parts: []string{p.name(key)}, RetryAfter: suspectRetry + time.Duration(t.rng.Int64N(int64(suspectRetry)))}
+		}
+	}
+	t.startTrial(now, p, suspects)
+	return p, nil
+}
+
+// knownKeys returns the keys of the parts, or none if there is nothing known against any
+// of them.
+func (t *Table) knownKeys(service string, parts []string) []partKey {
+	if t.verdicts.empty() {
+		return nil
+	}
+	keys := make([]partKey, len(parts))
+	for i, part := range parts {
+		keys[i] = keyOf(service, part)
+	}
+	return keys
+}
+
+// held returns the error for a request that a verdict keeps from endpoints.
+func (t *Table) held(now time.Time, v *verdict) *HeldError {
+	return &HeldError{Reason: ReasonQuarantined, Parts: v.parts, RetryAfter: max(v.nextProbe.Sub(now), firstProbe)}
+}
+
+// suspects returns the parts that requests have to be tried for one at a time. A part of
+// which answers have begun before is suspect from its second crash on.
+func (t *Table) suspects(now time.Time, parts []partKey) []partKey {
+	var out []partKey
+	for _, key := range parts {
+		blamed := t.evidence.blamed(now, key)
+		if len(blamed) == 0 {
+			continue
+		}
+		if successive(blamed) > 1 || !t.evidence.known(key, blamed[0].at) {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+// mayTry reports whether a request with a suspect part may be sent now. Only one at a
+// time may be in progress, at all entries. The entry that saw the last crash comes first,
+// the others follow in an order that they all compute.
+func (t *Table) mayTry(now time.Time, key partKey) bool {
+	if t.tried(now, key) {
+		return false
+	}
+	last := t.evidence.last(key)
+	if last == nil || last.own {
+		return true
+	}
+	delay := min(trialDelay*time.Duration(1+t.rank(now, key)), maxTrialDelay)
+	return now.Sub(last.at) >= delay
+}
+
+// tried reports whether a trial of the part is in progress at any entry.
+func (t *Table) tried(now time.Time, key partKey) bool {
+	if own := t.trials[key]; own != nil && now.Sub(own.began) < trialTTL {
+		return true
+	}
+	for _, p := range t.peers {
+		if began, ok := p.trials[key]; ok && now.Sub(began) < trialTTL {
+			return true
+		}
+	}
+	return false
+}
+
+// rank returns the position of this entry in the order of the live entries that is valid
+// for the part. The entries need not agree on it: it only spreads their trials.
+func (t *Table) rank(now time.Time, key partKey) int {
+	score := func(entry string) uint64 {
+		var h xxhash.Digest
+		_, _ = h.WriteString(entry)
+		return h.Sum64() ^ uint64(key)
+	}
+	own, rank := score(t.options.Entry), 0
+	for name, p := range t.peers {
+		if now.Sub(p.heard) <= peerTTL && score(name) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// startTrial records that a request tries suspect parts.
+func (t *Table) startTrial(now time.Time, p *Permit, keys []partKey) {
+	for _, key := range keys {
+		x := &trial{began: now}
+		t.trials[key] = x
+		if p.trials == nil {
+			p.trials = make(map[partKey]*trial)
+		}
+		p.trials[key] = x
+		t.changed = now
+	}
+}
--- /dev/null
+++ b/internal/traffic/quarantine/verdict.go
@@ -0,0 +1,272 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"fulmardeal"
+)
+
+// Probes of quarantined parts. Each may end another endpoint, so they are rare.
+const (
+	firstProbe  = time.Minute // from the verdict to the first probe; the interval doubles with each failure
+	maxInterval = time.Hour   // between two probes
+	maxVerdicts = 1024
+)
+
+// verdict quarantines a set of parts: requests with all of them.
+type verdict struct {
+	service   string
+	parts     []string
+	keys      []partKey // of parts
+	weights   []int64   // versions of the weights with which endpoints crashed
+	crashes   int
+	probes    int // that failed
+	serial    int64
+	released  bool
+	since     time.Time
+	changed   time.Time
+	nextProbe time.Time
+}
+
+// Change is a verdict that was passed, changed or released.
+type Change struct {
+	Quarantine fulmardeal.Quarantine
+	Own        bool // by this entry, which has to store it
+}
+
+// verdicts holds all verdicts.
+type verdicts struct {
+	byKey   map[partKey]*verdict // by the hash of the parts
+	byPart  map[partKey][]*verdict
+	changes []Change
+}
+
+func newVerdicts() verdicts {
+	return verdicts{byKey: make(map[partKey]*verdict), byPart: make(map[partKey][]*verdict)}
+}
+
+func (s *verdicts) empty() bool { return len(s.byKey) == 0 }
+
+// setKey returns a hash of a set of parts.
+func setKey(keys []partKey) partKey {
+	var out partKey
+	for _, key := range keys {
+		out += key * 0x9e3779b97f4a7c15
+	}
+	return out
+}
+
+// match returns a verdict on a request with the given parts, or nil if there is none.
+func (s *verdicts) match(keys []partKey) *verdict {
+	for _, key := range keys {
+		for _, v := range s.byPart[key] {
+			if !v.released && containsAll(keys, v.keys) {
+				return v
+			}
+		}
+	}
+	return nil
+}
+
+func containsAll(all, some []partKey) bool {
+	return !slices.ContainsFunc(some, func(key partKey) bool { return !slices.Contains(all, key) })
+}
+
+// put adds a verdict, or replaces the one on the same parts.
+func (s *verdicts) put(v *verdict) {
+	key := setKey(v.keys)
+	s.drop(key)
+	if len(s.byKey) >= maxVerdicts {
+		oldest := key
+		for k, o := range s.byKey {
+			if s.byKey[oldest] == nil || o.since.Before(s.byKey[oldest].since) {
+				oldest = k
+			}
+		}
+		s.drop(oldest)
+	}
+	s.byKey[key] = v
+	for _, k := range v.keys {
+		s.byPart[k] = append(s.byPart[k], v)
+	}
+}
+
+func (s *verdicts) drop(key partKey) {
+	old := s.byKey[key]
+	if old == nil {
+		return
+	}
+	delete(s.byKey, key)
+	for _, k := range old.keys {
+		if s.byPart[k] = slices.DeleteFunc(s.byPart[k], func(v *verdict) bool { return v == old }); len(s.byPart[k]) == 0 {
+			delete(s.byPart, k)
+		}
+	}
+}
+
+// update counts a change of a verdict.
+func (s *verdicts) update(now time.Time, v *verdict) {
+	v.serial++
+	v.changed = now
+	v.nextProbe = now.Add(probeInterval(v.probes))
+	s.changes = append(s.changes, Change{Quarantine: v.quarantine(), Own: true})
+}
+
+// probeFailed records that a probe of the verdict on a set of parts ended an endpoint.
+func (s *verdicts) probeFailed(now time.Time, set partKey) {
+	v := s.byKey[set]
+	if v == nil || v.released {
+		return
+	}
+	v.probes++
+	v.crashes++
+	s.update(now, v)
+}
+
+func probeInterval(probes int) time.Duration {
+	return min(firstProbe<<min(probes, 8), maxInterval)
+}
+
+// condemn passes a verdict if the crashes suffice for one that applies to the request. It
+// returns the verdict, or nil. The caller must hold t.mu.
+func (t *Table) condemn(now time.Time, p *Permit) *verdict {
+	for _, key := range p.parts {
+		blamed := t.evidence.blamed(now, key)
+		if len(blamed) == 0 || successive(blamed) < t.lossRate(p.service).crashesNeeded() {
+			continue
+		}
+		// Requests may have several parts on which no answer has ever begun: only what
+		// all of them have in common is to blame.
+		common := slices.Clone(t.evidence.blames(blamed[0]))
+		var weights []int64
+		for _, c := range blamed {
+			blames := t.evidence.blames(c)
+			common = slices.DeleteFunc(common, func(k partKey) bool { return !slices.Contains(blames, k) })
+			if !slices.Contains(weights, c.weights) {
+				weights = append(weights, c.weights)
+			}
+		}
+		if !containsAll(p.parts, common) {
+			continue
+		}
+		if v := t.pass(now, p, common, weights, len(blamed)); !t.evidence.soundWith(v, p.weights) {
+			return v
+		}
+	}
+	return nil
+}
+
+// pass passes a verdict on parts of a request, unless there is one.
+func (t *Table) pass(now time.Time, p *Permit, keys []partKey, weights []int64, crashes int) *verdict {
+	v := t.verdicts.byKey[setKey(keys)]
+	if v != nil && !v.released {
+		return v
+	}
+	next := &verdict{service: p.service, keys: keys, weights: weights, crashes: crashes, since: now}
+	for _, key := range keys {
+		next.parts = append(next.parts, p.name(key))
+	}
+	if v != nil {
+		next.serial, next.probes = v.serial, v.probes
+	}
+	t.verdicts.put(next)
+	t.verdicts.update(now, next)
+	t.changed = now
+	return next
+}
+
+// release ends the verdict on a request whose answer has begun. The caller must hold t.mu.
+func (t *Table) release(now time.Time, p *Permit) {
+	v := t.verdicts.match(p.parts)
+	if v == nil || !slices.Contains(v.weights, p.weights) {
+		return
+	}
+	v.released = true
+	t.verdicts.update(now, v)
+	t.changed = now
+}
+
+// mayProbe reports whether this entry may send a request to find out whether its parts
+// are sound again. The caller must hold t.mu.
+func (t *Table) mayProbe(now time.Time, v *verdict, keys []partKey) bool {
+	if now.Before(v.nextProbe) || t.rank(now, setKey(v.keys)) > 0 {
+		return false
+	}
+	return !slices.ContainsFunc(keys, func(key partKey) bool { return t.tried(now, key) })
+}
+
+// soundWith reports whether endpoints crashed with other versions of the weights only,
+// and answers on all the parts have begun with this one.
+func (e *evidence) soundWith(v *verdict, weights int64) bool {
+	if slices.Contains(v.weights, weights) {
+		return false
+	}
+	return !slices.ContainsFunc(v.keys, func(key partKey) bool {
+		return !slices.ContainsFunc(e.begins(key), func(b begin) bool { return b.weights == weights })
+	})
+}
+
+// soundElsewhere reports whether there is a version for which soundWith is true.
+func (e *evidence) soundElsewhere(v *verdict) bool {
+	return slices.ContainsFunc(e.begins(v.keys[0]), func(b begin) bool { return e.soundWith(v, b.weights) })
+}
+
+func (v *verdict) quarantine() fulmardeal.Quarantine {
+	return fulmardeal.Quarantine{
+		Service: v.service, Parts: slices.Clone(v.parts), Weights: slices.Clone(v.weights), Crashes: v.crashes,
+		Probes: v.probes, Serial: v.serial, Released: v.released, Since: v.since,
+	}
+}
+
+// Apply applies a verdict that another entry has reported or stored, if it is newer.
+func (t *Table) Apply(now time.Time, q fulmardeal.Quarantine) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.apply(now, q)
+}
+
+func (t *Table) apply(now time.Time, q fulmardeal.Quarantine) {
+	if q.Service == "" || len(q.Parts) == 0 {
+		return
+	}
+	v := &verdict{
+		service: q.Service, parts: q.Parts, weights: q.Weights, crashes: q.Crashes, probes: q.Probes, serial: q.Serial, released: q.Released,
+		since: q.Since, changed: now, nextProbe: now.Add(probeInterval(q.Probes)),
+	}
+	for _, part := range q.Parts {
+		v.keys = append(v.keys, keyOf(q.Service, part))
+	}
+	if known := t.verdicts.byKey[setKey(v.keys)]; known != nil {
+		tie := known.serial == v.serial && known.released && !v.released
+		if known.serial >= v.serial && !tie {
+			return
+		}
+	}
+	t.verdicts.put(v)
+	t.verdicts.changes = append(t.verdicts.changes, Change{Quarantine: v.quarantine()})
+	t.changed = now
+}
+
+// Changes returns the changes of verdicts since the last call.
+func (t *Table) Changes() []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := t.verdicts.changes
+	t.verdicts.changes = nil
+	return out
+}
+
+// Quarantines returns all verdicts that are in force.
+func (t *Table) Quarantines() []fulmardeal.Quarantine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []fulmardeal.Quarantine
+	for _, v := range t.verdicts.byKey {
+		if !v.released {
+			out = append(out, v.quarantine())
+		}
+	}
+	slices.SortFunc(out, func(a, b fulmardeal.Quarantine) int { return a.Since.Compare(b.Since) })
+	return out
+}
--- a/internal/traffic/sharing/mesh.go
+++ b/internal/traffic/sharing/mesh.go
@@ -15,6 +15,7 @@
 	"fulmardeal/internal/fleet/catalogue"
 	"fulmardeal/internal/fleet/membership"
 	"fulmardeal/internal/traffic/dispatch"
+	"fulmardeal/internal/traffic/quarantine"
 )
 
 // Intervals, timeouts and limits of a mesh.
@@ -98,7 +99,8 @@
 	Regions    map[string]string // region of each data centre
 	Listen     string            // host and port of this entry
 	Table      *dispatch.Table
-	EntryFeed  fulmardeal.Feed // yields the announcements of entries
+	Quarantine *quarantine.Table // nil if evidence isn't shared
+	EntryFeed  fulmardeal.Feed   // yields the announcements of entries, and quarantines
 	Announcer  Announcer
 	Targets    func() []catalogue.Target // what the engines are to serve
 	Agents     func() []Agent            // all agents known to this entry
@@ -164,6 +166,11 @@
 			nextCrossRegion = now.Add(intervals.OtherRegions)
 		}
 		m.sendAll(parts, to)
+		if q := m.options.Quarantine; q != nil {
+			if report, due := q.Report(time.Now()); due {
+				m.sendAll(encodeQuarantineReport(report), slices.Concat(sameRegion, otherRegions))
+			}
+		}
 		intervals.SameRegion = max(reportInterval, time.Duration(len(sameRegion))*reportIntervalPerEntry)
 		m.options.Table.SetReportIntervals(intervals)
 		t.Reset(intervals.SameRegion)
@@ -288,6 +295,14 @@
 		}
 		return nil
 	}
+	if data[0] == kindQuarantine && m.options.Quarantine != nil {
+		report, err := decodeQuarantineReport(data[1:])
+		if err != nil {
+			return err
+		}
+		m.options.Quarantine.ApplyReport(now, report)
+		return nil
+	}
 	return &DatagramError{Reason: "unknown kind"}
 }
 
@@ -373,9 +388,15 @@
 		return err
 	}
 	for _, c := range changes {
+		if c.Quarantine != nil && m.options.Quarantine != nil {
+			m.options.Quarantine.Apply(time.Now(), *c.Quarantine)
+		}
+		if c.Address == "" {
+			continue // a record of another kind; an empty address would resolve to one of no host
+		}
 		a, err := net.ResolveUDPAddr("udp4", c.Address)
 		if err != nil || a.String() == m.options.Listen {
-			continue // this entry, or a record of another kind, which has no entry's address
+			continue // this entry, or not an address
 		}
 		m.mu.Lock()
 		_, known := m.peers[a.String()]
--- a/internal/traffic/sharing/message.go
+++ b/internal/traffic/sharing/message.go
@@ -20,6 +20,7 @@
 	kindReport       = 'L'
 	kindEngineStatus = 'N'
 	kindAgentUpdate  = 'B'
+	kindQuarantine   = 'Q'
 )
 
 // maxDatagram is the payload that fits into one packet on a link with an MTU of
--- /dev/null
+++ b/internal/traffic/sharing/quarantine.go
@@ -0,0 +1,176 @@
+package sharing
+
+import (
+	"encoding/binary"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/traffic/quarantine"
+)
+
+// Tags of the items in a report on crashes.
+const (
+	tagTrial   = 'T'
+	tagVerdict = 'V'
+	tagCrash   = 'C'
+	tagBegin   = 'B'
+)
+
+// Flags in the header of a report, and of a verdict.
+const (
+	flagPartial  = 1
+	flagReleased = 1
+)
+
+// encodeQuarantineReport encodes a report as one or more datagrams. Each is valid by
+// itself. A verdict that doesn't fit into a datagram is left out: the others read it from
+// the store.
+func encodeQuarantineReport(r quarantine.Report) [][]byte {
+	header := func(flags byte) []byte {
+		return append(appendString([]byte{kindQuarantine}, r.Entry), flags)
+	}
+	datagram := header(0)
+	empty := len(datagram)
+	var out [][]byte
+	add := func(item []byte) {
+		if empty+len(item) > maxDatagram {
+			return
+		}
+		if len(datagram)+len(item) > maxDatagram {
+			out = append(out, datagram)
+			datagram = header(flagPartial)
+		}
+		datagram = append(datagram, item...)
+	}
+	for _, x := range r.Trials {
+		add(appendAge(binary.BigEndian.AppendUint64([]byte{tagTrial}, x.Part), x.Age))
+	}
+	for _, v := range r.Verdicts {
+		add(appendVerdict([]byte{tagVerdict}, v))
+	}
+	for _, x := range r.Begins {
+		b := binary.BigEndian.AppendUint64([]byte{tagBegin}, x.Part)
+		add(appendAge(binary.AppendUvarint(b, uint64(x.Weights)), x.Age))
+	}
+	for _, x := range r.Crashes {
+		b := binary.BigEndian.AppendUint64([]byte{tagCrash}, x.ID)
+		b = binary.AppendUvarint(b, uint64(len(x.Parts)))
+		for _, part := range x.Parts {
+			b = binary.BigEndian.AppendUint64(b, part)
+		}
+		b = binary.AppendUvarint(b, uint64(x.Weights))
+		add(appendAge(appendAge(b, x.SentAge), x.Age))
+	}
+	return append(out, datagram)
+}
+
+// appendAge appends an age in microseconds. The order of events at different entries
+// depends on it.
+func appendAge(b []byte, age time.Duration) []byte {
+	return binary.AppendUvarint(b, uint64(max(0, age.Microseconds())))
+}
+
+func appendVerdict(b []byte, q fulmardeal.Quarantine) []byte {
+	b = appendString(b, q.Service)
+	b = binary.AppendUvarint(b, uint64(len(q.Parts)))
+	for _, part := range q.Parts {
+		b = appendString(b, part)
+	}
+	b = binary.AppendUvarint(b, uint64(len(q.Weights)))
+	for _, w := range q.Weights {
+		b = binary.AppendUvarint(b, uint64(w))
+	}
+	for _, n := range []int64{int64(q.Crashes), int64(q.Probes), q.Serial, max(0, q.Since.UnixMilli())} {
+		b = binary.AppendUvarint(b, uint64(n))
+	}
+	if q.Released {
+		return append(b, flagReleased)
+	}
+	return append(b, 0)
+}
+
+// maxAge is the longest age in a report, in microseconds; longer ones are invalid.
+const maxAge = 24 * 3600 * 1e6
+
+func (r *decoder) age() time.Duration {
+	n := r.uvarint()
+	if n > maxAge {
+		r.fail("age out of range")
+		return 0
+	}
+	return time.Duration(n) * time.Microsecond
+}
+
+// number reads a number that fits into an int64.
+func (r *decoder) number() int64 {
+	n := r.uvarint()
+	if n > 1<<62 {
+		r.fail("number out of range")
+		return 0
+	}
+	return int64(n)
+}
+
+func (r *decoder) flags() byte {
+	b := r.bytes(1)
+	if b == nil {
+		return 0
+	}
+	return b[0]
+}
+
+func (r *decoder) verdict() fulmardeal.Quarantine {
+	q := fulmardeal.Quarantine{Service: r.str()}
+	for range r.listLength() {
+		if r.err != nil {
+			break
+		}
+		q.Parts = append(q.Parts, r.str())
+	}
+	for range r.listLength() {
+		if r.err != nil {
+			break
+		}
+		q.Weights = append(q.Weights, r.number())
+	}
+	q.Crashes, q.Probes, q.Serial = int(min(r.number(), maxCount)), int(min(r.number(), maxCount)), r.number()
+	q.Since = time.UnixMilli(r.number())
+	q.Released = r.flags()&flagReleased != 0
+	return q
+}
+
+func (r *decoder) crash() quarantine.ReportedCrash {
+	x := quarantine.ReportedCrash{ID: r.hash()}
+	for range r.listLength() {
+		if r.err != nil {
+			break
+		}
+		x.Parts = append(x.Parts, r.hash())
+	}
+	x.Weights, x.SentAge, x.Age = r.number(), r.age(), r.age()
+	return x
+}
+
+func decodeQuarantineReport(data []byte) (quarantine.Report, error) {
+	r := decoder{data: data}
+	report := quarantine.Report{Entry: r.str()}
+	report.Partial = r.flags()&flagPartial != 0
+	for r.err == nil && len(r.data) > 0 {
+		switch tag := r.flags(); tag {
+		case tagTrial:
+			report.Trials = append(report.Trials, quarantine.ReportedTrial{Part: r.hash(), Age: r.age()})
+		case tagVerdict:
+			report.Verdicts = append(report.Verdicts, r.verdict())
+		case tagBegin:
+			report.Begins = append(report.Begins, quarantine.ReportedBegin{Part: r.hash(), Weights: r.number(), Age: r.age()})
+		case tagCrash:
+			report.Crashes = append(report.Crashes, r.crash())
+		default:
+			r.fail("unknown tag")
+		}
+	}
+	if r.err != nil {
+		return quarantine.Report{}, r.err
+	}
+	return report, nil
+}
--- a/pool.go
+++ b/pool.go
@@ -184,6 +184,19 @@
 	Version int64
 }
 
+// Quarantine keeps requests from endpoints whose prompts have all of the given parts,
+// because endpoints crash when they begin to answer them.
+type Quarantine struct {
+	Service  string    `json:"service"`
+	Parts    []string  `json:"parts"`
+	Weights  []int64   `json:"weights"`  // versions of the weights with which endpoints crashed
+	Crashes  int       `json:"crashes"`  // on which it is based
+	Probes   int       `json:"probes"`   // requests since then that were to find out whether the parts are sound again, and crashed an endpoint
+	Serial   int64     `json:"serial"`   // rises with each change
+	Released bool      `json:"released"` // it is over
+	Since    time.Time `json:"since"`
+}
+
 // Position is the position of a record in a feed. The store numbers the records of
 // a feed from 0. When it is restored from a backup, the numbers continue from the end
 // of the backup, in a new era. Positions are ordered by era, then by number, so that
@@ -212,7 +225,7 @@
 func (p Position) Offset() int64 { return int64(p) & (1<<positionOffsetBits - 1) }
 
 // Change is one decoded record of a feed. Catalogue, Registration, Evacuation,
-// Naming, Address (with DataCentre) and Fault are alternatives; none of them is
+// Naming, Address (with DataCentre), Quarantine and Fault are alternatives; none of them is
 // set if the key was deleted.
 //
 // Relays send changes to other entries by net/rpc, so the names of the exported
@@ -227,7 +240,8 @@
 	Naming       *Publication
 	Address      string // address of an entry's internal listener
 	DataCentre   string // data centre of the entry at Address
-	Fault        error  // reason why the record can't be decoded; such a record has no effect
+	Quarantine   *Quarantine
+	Fault        error // reason why the record can't be decoded; such a record has no effect
 }
 
 // Feed is a stream of keyed records, in which a record supersedes all earlier
@@ -288,7 +302,7 @@
 	ExpectedOutputTokens int      // expected length of the output, in tokens; 0 if not given
 	LastEventID          string   // id of the last event that the caller has received
 	PromptPrefix         string   // identifies a prompt prefix that other requests may share
-	SharedParts          []string // ids of the prompt's parts that other requests may share, in order
+	PromptParts          []string // ids of the prompt's parts, in order; all but the last may be shared by any requests
 }
 
 // ForwardMetadata is the metadata that an entry sets in the header of a request
