traffic/quarantine: replays of crashes, and a wait instead of a refusal during a trial

Replays in virtual time of 1 to 53 entries that exchange reports, with loss, delay, entries that start, are cut off or all killed: poisoned parts must be found (at most three arrivals later than 3 s after the fifth crash, sound requests begin), also two at a time, rare, hot, with unseen or shared companions, with new weights only. In racks that are gone, releases and an overload that crashes one request in ten, no part may be quarantined. Further tests: what resets and ends look like over sockets, probes, datagrams, the store, bounded memory.

Found by them, none of it seen by callers: - a request with a suspect part was refused while another one was being tried. It now waits up to 300 ms for the end of that trial, in most cases an answer that clears the part; - a part that is sound with the present weights and crashes new ones was counted among the ordinary losses (version/3 found no verdict), since `known` ignored the version; - with 53 entries each new crash made all of them report again; only entries that know an answer which the report lacks do so now.

Each guard was taken out to see the tests fail: counting crashes that overlap (TestEndpointsThatEndTogether, troubles series), blaming known parts (replay overload), and taking every lost connection for a crash (troubles series and reset).

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -64,7 +64,7 @@
 // exchange is derived from ctx.
 func (a *attempt) run(ctx, exchange context.Context) {
 	u := a.tryExchange(exchange)
-	a.permit.Done()
+	a.permit.Done(time.Now())
 	a.reservation.Release(u.outcome)
 	u.attempt, u.ended = a, true
 	a.report(ctx, u)
--- a/internal/process/gateway/crash_test.go
+++ b/internal/process/gateway/crash_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,7 @@
 	crashDown        = 600 * time.Millisecond // until an endpoint is back
 	soundInterval    = 25 * time.Millisecond  // between two sound requests
 	poisonInterval   = 120 * time.Millisecond // between two requests with a poisoned part
+	partRequests     = 40                     // sound requests that share a second part
 
 	contactTime     = 3 * time.Second // after the fifth crash, in which entries must have learned
 	crashesToLearn  = 5
@@ -109,6 +111,10 @@
 	attempt := r.Header.Get("X-Fulmardeal-Attempt-Id")
 	poisoned := e.load.arrived(r.Header.Get("X-Fulmardeal-Prompt-Prefix"), r.Header.Get("X-Sent"))
 	time.Sleep(crashFirstEvent)
+	if e.load.resets.Load() {
+		hangUp(w, r)
+		return
+	}
 	w.Header().Set("X-Fulmardeal-Attempt-Id", attempt)
 	w.Header().Set("X-Fulmardeal-Response-Stamp", "by-"+id)
 	_ = http.NewResponseController(w).Flush()
@@ -134,9 +140,12 @@
 	again  bool     // the same few requests come again
 	begin  time.Time
 	closed chan struct{}
+	resets atomic.Bool // endpoints close connections before they begin to answer
 
 	mu       sync.Mutex
 	entries  []*testGateway
+	servers  []*crashingEndpoint
+	held     []string // sound requests that were refused for their parts
 	crashes  []time.Time
 	arrivals []time.Time // when requests with a poisoned part were sent that reached an endpoint
 	sound    []soundResult
@@ -207,11 +216,15 @@
 	}), sent
 }
 
-// sendSound sends a sound request, which shares its first part with poisoned ones.
+// sendSound sends a sound request, which shares its first part with poisoned ones. Each
+// second part is shared by some successive requests only.
 func (l *crashLoad) sendSound(n int) {
-	a, sent := l.send(n, fmt.Sprintf("f%d:40,ab%d:30", n%3, n))
+	a, sent := l.send(n, fmt.Sprintf("f%d:40,e%d:10,ab%d:30", n%3, n/partRequests, n))
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if a.status == http.StatusServiceUnavailable && (strings.HasPrefix(a.body, "quarantined") || strings.HasPrefix(a.body, "suspect")) {
+		l.held = append(l.held, a.id+": "+a.body)
+	}
 	l.sound = append(l.sound, soundResult{sent: sent, served: a.status == http.StatusOK && a.err == nil})
 }
 
@@ -275,10 +288,39 @@
 	}
 }
 
-func (l *crashLoad) run(entries int, what string) {
+// endNow ends an endpoint for a while, whatever it is doing.
+func (e *crashingEndpoint) endNow() {
+	e.mu.Lock()
+	id := e.id
+	e.mu.Unlock()
+	e.crash(id)
+}
+
+// trouble causes a trouble of testdata/troubles.txt once.
+func (l *crashLoad) trouble(what string) {
+	switch what {
+	case "rack":
+		for _, e := range l.servers[:crashEndpoints*6/10] {
+			e.endNow()
+		}
+	case "series":
+		for _, e := range l.servers[:crashEndpoints/2] {
+			e.endNow()
+			time.Sleep(100 * time.Millisecond)
+		}
+	case "reset":
+		l.resets.Store(true)
+		time.Sleep(600 * time.Millisecond)
+		l.resets.Store(false)
+	}
+}
+
+// prepare starts the endpoints and the entries.
+func (l *crashLoad) prepare(entries int) {
 	for range crashEndpoints {
 		e := &crashingEndpoint{load: l, address: newHost() + ":9100"}
 		e.start()
+		l.servers = append(l.servers, e)
 		l.t.Cleanup(e.close)
 	}
 	c := catalogue(1)
@@ -287,6 +329,10 @@
 	for i := range entries {
 		l.startEntry(fmt.Sprintf("front-%d", i))
 	}
+}
+
+func (l *crashLoad) run(entries int, what string) {
+	l.prepare(entries)
 	var calls sync.WaitGroup
 	calls.Go(func() { l.repeat(soundInterval, &calls, l.sendSound) })
 	time.Sleep(time.Second)
@@ -364,3 +410,37 @@
 		return nil
 	})
 }
+
+// Endpoints that end for other reasons, and connections that are reset, must not get sound
+// requests refused for their parts.
+func TestOtherTroublesBlameNoPart(t *testing.T) {
+	script.Run(t, "testdata/troubles.txt", func(f []string) error {
+		entries, err := strconv.Atoi(f[0])
+		if err != nil {
+			return err
+		}
+		t.Run(strings.Join(f, " "), func(t *testing.T) {
+			t.Parallel()
+			l := &crashLoad{t: t, store: newMemStore(), closed: make(chan struct{})}
+			l.prepare(entries)
+			var calls sync.WaitGroup
+			calls.Go(func() { l.repeat(soundInterval, &calls, l.sendSound) })
+			for range 5 {
+				time.Sleep(time.Second)
+				l.trouble(f[1])
+			}
+			time.Sleep(time.Second)
+			close(l.closed)
+			calls.Wait()
+			if len(l.held) > 0 {
+				t.Errorf("%d of %d sound requests refused for their parts, such as %s", len(l.held), len(l.sound), l.held[0])
+			}
+			for _, c := range l.store.records["entries"] {
+				if c.Quarantine != nil {
+					t.Errorf("quarantined: %+v", c.Quarantine)
+				}
+			}
+		})
+		return nil
+	})
+}
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -235,10 +235,10 @@
 }
 
 // handleHeldError handles a request that is kept from endpoints because of its parts.
-func (c *call) handleHeldError(ctx context.Context, err error) {
-	var held *quarantine.HeldError
-	if !errors.As(err, &held) {
-		held = &quarantine.HeldError{Reason: quarantine.ReasonQuarantined}
+func (c *call) handleHeldError(ctx context.Context, held *quarantine.HeldError) {
+	if ctx.Err() != nil && !timeIsUp(ctx) {
+		c.logDisconnected()
+		return
 	}
 	c.gateway.stats.count(string(held.Reason), c.service)
 	if c.runs > 0 || c.progress.started {
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -57,28 +58,61 @@
 }
 
 // startNext waits for a slot and starts an attempt there, while no other attempt is
-// running. If there is no slot, it ends the request and returns false.
+// running. If there is no slot, or its parts must not be sent, it ends the request and
+// returns false.
 func (c *call) startNext(ctx context.Context) bool {
 	start := time.Now()
+	for {
+		reservation, permit, err := c.reserve(ctx)
+		if err == nil {
+			c.queueTime += time.Since(start)
+			c.start(ctx, reservation, permit)
+			return true
+		}
+		var held *quarantine.HeldError
+		if !errors.As(err, &held) {
+			c.queueTime += time.Since(start)
+			c.handleReserveError(ctx, err)
+			return false
+		}
+		if held.Reason != quarantine.ReasonSuspect || time.Since(start) >= suspectWait || !sleep(ctx, suspectPollInterval) {
+			c.handleHeldError(ctx, held)
+			return false
+		}
+	}
+}
+
+// A request with a suspect part waits for the end of another one's trial, which shows in
+// most cases that the part is sound.
+const (
+	suspectWait         = 300 * time.Millisecond
+	suspectPollInterval = 20 * time.Millisecond
+)
+
+// sleep waits and reports whether ctx is still in force.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// reserve waits for a slot for an attempt, and asks whether the request may be sent with
+// regard to its parts. The error is a *dispatch.RefusedError or a *quarantine.HeldError.
+func (c *call) reserve(ctx context.Context) (*dispatch.Reservation, *quarantine.Permit, error) {
 	request := c.dispatchRequest()
 	var err error
-	if request.AvoidedWeights, err = c.gateway.quarantine.Check(start, c.service, c.metadata.PromptParts); err != nil {
-		c.handleHeldError(ctx, err)
-		return false
+	if request.AvoidedWeights, err = c.gateway.quarantine.Check(time.Now(), c.service, c.metadata.PromptParts); err != nil {
+		return nil, nil, err
 	}
 	reservation, err := c.gateway.table.Reserve(ctx, request)
-	c.queueTime += time.Since(start)
 	if err != nil {
-		c.handleReserveError(ctx, err)
-		return false
+		return nil, nil, err
 	}
 	permit, err := c.enter(reservation)
-	if err != nil {
-		c.handleHeldError(ctx, err)
-		return false
-	}
-	c.start(ctx, reservation, permit)
-	return true
+	return reservation, permit, err
 }
 
 // enter asks whether the request may be sent to an endpoint with regard to its parts. If
--- a/internal/traffic/quarantine/evidence.go
+++ b/internal/traffic/quarantine/evidence.go
@@ -12,6 +12,7 @@
 	maxCrashes     = 256
 	soundRetention = time.Minute // how long an answer that has begun speaks for the parts of its request
 	maxBegunParts  = 1 << 14     // parts per generation of begun
+	expireInterval = 200 * time.Millisecond
 )
 
 // crash is one request that an endpoint had not begun to answer when it crashed.
@@ -34,6 +35,8 @@
 // evidence holds crashes, and answers that have begun.
 type evidence struct {
 	crashes []*crash             // in the order of their time
+	byID    map[partKey]*crash   // the same, by id
+	expired time.Time            // when crashes were last removed
 	byPart  map[partKey][]*crash // the same, by part
 
 	// begun and begunBefore hold the latest begins of each part, one for each version
@@ -42,7 +45,7 @@
 }
 
 func newEvidence() evidence {
-	return evidence{byPart: make(map[partKey][]*crash), begun: make(map[partKey][]begin)}
+	return evidence{byID: make(map[partKey]*crash), byPart: make(map[partKey][]*crash), begun: make(map[partKey][]begin)}
 }
 
 // mentions reports whether a crash involves the part.
@@ -57,29 +60,29 @@
 }
 
 // recordBegin records that an answer began. It reports whether that is news to the other
-// entries, because a crash involves the part.
+// entries, because the part was to blame for a crash.
 func (e *evidence) recordBegin(key partKey, b begin) bool {
 	if len(e.begun) >= maxBegunParts {
 		e.begun, e.begunBefore = make(map[partKey][]begin), e.begun
 	}
+	news := slices.ContainsFunc(e.byPart[key], func(c *crash) bool {
+		return c.weights == b.weights && !b.at.Before(c.at) && slices.Contains(e.blames(c), key)
+	})
 	list := e.begins(key)
 	i := slices.IndexFunc(list, func(o begin) bool { return o.weights == b.weights })
-	var before time.Time
 	if i < 0 {
 		list = append(slices.Clone(list), b)
-	} else if before = list[i].at; b.at.After(before) {
+	} else if b.at.After(list[i].at) {
 		list[i] = b
 	}
 	e.begun[key] = list
-	return slices.ContainsFunc(e.byPart[key], func(c *crash) bool {
-		return c.weights == b.weights && before.Before(c.at) && !b.at.Before(c.at)
-	})
+	return news
 }
 
-// known reports whether an answer began on the part since soundRetention before the given
-// time.
-func (e *evidence) known(key partKey, at time.Time) bool {
-	return slices.ContainsFunc(e.begins(key), func(b begin) bool { return at.Sub(b.at) < soundRetention })
+// known reports whether an answer began on the part, with a version of the weights, since
+// soundRetention before the given time.
+func (e *evidence) known(key partKey, at time.Time, weights int64) bool {
+	return slices.ContainsFunc(e.begins(key), func(b begin) bool { return b.weights == weights && at.Sub(b.at) < soundRetention })
 }
 
 // clears reports whether an answer on the part began after the crash, with the same
@@ -91,9 +94,10 @@
 // add adds a crash unless it is known.
 func (e *evidence) add(now time.Time, c *crash) bool {
 	e.expire(now)
-	if slices.ContainsFunc(e.crashes, func(o *crash) bool { return o.id == c.id }) {
+	if e.byID[c.id] != nil {
 		return false
 	}
+	e.byID[c.id] = c
 	if len(e.crashes) >= maxCrashes {
 		e.remove(e.crashes[0])
 	}
@@ -106,6 +110,7 @@
 }
 
 func (e *evidence) remove(c *crash) {
+	delete(e.byID, c.id)
 	e.crashes = slices.DeleteFunc(e.crashes, func(o *crash) bool { return o == c })
 	for _, key := range c.parts {
 		if e.byPart[key] = slices.DeleteFunc(e.byPart[key], func(o *crash) bool { return o == c }); len(e.byPart[key]) == 0 {
@@ -116,6 +121,10 @@
 
 // expire removes crashes that are old, or whose parts have been cleared.
 func (e *evidence) expire(now time.Time) {
+	if now.Sub(e.expired) < expireInterval {
+		return
+	}
+	e.expired = now
 	for _, c := range slices.Clone(e.crashes) {
 		if c.cleared.IsZero() && !slices.ContainsFunc(c.parts, func(key partKey) bool { return !e.clears(key, c) }) {
 			c.cleared = now
@@ -135,7 +144,7 @@
 			continue
 		}
 		uncleared = append(uncleared, key)
-		if !e.known(key, c.at) {
+		if !e.known(key, c.at, c.weights) {
 			unknown = append(unknown, key)
 		}
 	}
--- a/internal/traffic/quarantine/permit.go
+++ b/internal/traffic/quarantine/permit.go
@@ -79,7 +79,7 @@
 	}
 	ordinary := true
 	for _, key := range p.parts[:len(p.parts)-1] {
-		ordinary = ordinary && t.evidence.known(key, now)
+		ordinary = ordinary && t.evidence.known(key, now, p.weights)
 	}
 	if ordinary {
 		t.lossRate(p.service).record(true)
@@ -96,14 +96,16 @@
 }
 
 // Done ends the attempt. Further calls have no effect.
-func (p *Permit) Done() {
+func (p *Permit) Done(now time.Time) {
 	t := p.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, x := range p.trials {
 		if t.trials[key] == x {
 			delete(t.trials, key)
-			t.changed = time.Now()
+			if key != p.parts[len(p.parts)-1] {
+				t.changed = now
+			}
 		}
 	}
 	p.trials = nil
--- /dev/null
+++ b/internal/traffic/quarantine/quarantine_test.go
@@ -0,0 +1,225 @@
+package quarantine_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/traffic/quarantine"
+)
+
+// fixture is one entry in virtual time.
+type fixture struct {
+	*quarantine.Table
+	t   *testing.T
+	now time.Time
+	n   int
+}
+
+func newFixture(t *testing.T) *fixture {
+	return &fixture{Table: quarantine.New(quarantine.Options{Entry: "front-1", Seed: 1}), t: t, now: time.Unix(1000, 0)}
+}
+
+// enter asks to send a request with the given parts and a last part of its own.
+func (f *fixture) enter(weights int64, parts ...string) (*quarantine.Permit, error) {
+	f.n++
+	return f.Enter(f.now, "llm", append(slices.Clone(parts), fmt.Sprintf("own%d", f.n)), weights)
+}
+
+// crash sends a request and crashes its endpoint.
+func (f *fixture) crash(weights int64, parts ...string) {
+	f.t.Helper()
+	p, err := f.enter(weights, parts...)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	sent := f.now
+	f.now = f.now.Add(100 * time.Millisecond)
+	p.Crashed(f.now, quarantine.Crash{Endpoint: fmt.Sprintf("e%d", f.n), Attempt: fmt.Sprintf("a%d", f.n), Sent: sent})
+	p.Done(f.now)
+}
+
+// begin sends a request whose answer begins.
+func (f *fixture) begin(weights int64, parts ...string) {
+	f.t.Helper()
+	p, err := f.enter(weights, parts...)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.now = f.now.Add(100 * time.Millisecond)
+	p.Begun(f.now)
+	p.Done(f.now)
+}
+
+// refused returns why a request is kept from endpoints, or an empty string if it isn't.
+func (f *fixture) refused(weights int64, parts ...string) quarantine.Reason {
+	p, err := f.enter(weights, parts...)
+	if err == nil {
+		p.Done(f.now)
+		return ""
+	}
+	var held *quarantine.HeldError
+	if !errors.As(err, &held) {
+		f.t.Fatal(err)
+	}
+	return held.Reason
+}
+
+func (f *fixture) want(want quarantine.Reason, weights int64, parts ...string) {
+	f.t.Helper()
+	if got := f.refused(weights, parts...); got != want {
+		f.t.Errorf("request with %v and weights %d: %q, want %q", parts, weights, got, want)
+	}
+}
+
+// A part that was sound for a while and crashes endpoints with new weights must be kept
+// from these, and still be served with the old weights.
+func TestNewWeightsCrashOnPart(t *testing.T) {
+	f := newFixture(t)
+	f.begin(1, "shared", "part")
+	for range 3 {
+		f.begin(2, "shared")
+		f.crash(2, "shared", "part")
+	}
+	f.want(quarantine.ReasonQuarantined, 2, "shared", "part")
+	f.want("", 1, "shared", "part")
+	f.want("", 2, "shared")
+	avoid, err := f.Check(f.now, "llm", []string{"shared", "part", "own"})
+	if err != nil || !slices.Equal(avoid, []int64{2}) {
+		t.Errorf("weights to avoid: %v, %v", avoid, err)
+	}
+}
+
+// A part on which no answer has ever begun must stay quarantined when new weights come.
+func TestNewWeightsDoNotReleasePart(t *testing.T) {
+	f := newFixture(t)
+	for range 3 {
+		f.begin(1, "shared")
+		f.crash(1, "shared", "part")
+	}
+	f.want(quarantine.ReasonQuarantined, 2, "shared", "part")
+}
+
+// Only one probe at a time finds out whether a quarantined part is sound again, at
+// intervals that grow, and an answer releases it.
+func TestProbes(t *testing.T) {
+	f := newFixture(t)
+	for range 3 {
+		f.crash(1, "part")
+	}
+	f.want(quarantine.ReasonQuarantined, 1, "part")
+	interval := time.Minute
+	for range 3 {
+		f.now = f.now.Add(interval - time.Second)
+		f.want(quarantine.ReasonQuarantined, 1, "part")
+		f.now = f.now.Add(time.Second)
+		p, err := f.enter(1, "part")
+		if err != nil {
+			t.Fatalf("no probe after %v: %v", interval, err)
+		}
+		f.want(quarantine.ReasonQuarantined, 1, "part")
+		p.Crashed(f.now, quarantine.Crash{Endpoint: fmt.Sprint("p", interval), Attempt: "a", Sent: f.now})
+		p.Done(f.now)
+		f.want(quarantine.ReasonQuarantined, 1, "part")
+		interval *= 2
+	}
+	f.now = f.now.Add(interval)
+	f.begin(1, "part")
+	f.want("", 1, "part")
+	if q := f.Quarantines(); len(q) > 0 {
+		t.Errorf("still quarantined: %+v", q)
+	}
+	if c := f.Changes(); len(c) != 5 || !c[4].Quarantine.Released || !c[4].Own || c[4].Quarantine.Serial != 5 {
+		t.Errorf("changes %+v", c)
+	}
+}
+
+// A verdict that other entries or the store know must not be undone by an older one.
+func TestOldVerdictsDoNotReturn(t *testing.T) {
+	f := newFixture(t)
+	q := fulmardeal.Quarantine{Service: "llm", Parts: []string{"part"}, Weights: []int64{1}, Serial: 2}
+	f.Apply(f.now, q)
+	f.want(quarantine.ReasonQuarantined, 1, "part")
+	released := q
+	released.Serial, released.Released = 3, true
+	f.Apply(f.now, released)
+	f.want("", 1, "part")
+	f.Apply(f.now, q)
+	f.want("", 1, "part")
+	f.Apply(f.now, fulmardeal.Quarantine{Service: "other", Parts: []string{"part"}, Serial: 4})
+	f.want("", 1, "part")
+	f.Apply(f.now, fulmardeal.Quarantine{Service: "llm", Serial: 4}) // of no part: applies to nothing
+	f.want("", 1, "part")
+}
+
+// Requests that were in progress at several endpoints at the same time count once, however
+// many of these end.
+func TestEndpointsThatEndTogether(t *testing.T) {
+	f := newFixture(t)
+	var permits []*quarantine.Permit
+	for range 6 {
+		p, err := f.enter(1, "rare")
+		if err != nil {
+			t.Fatal(err)
+		}
+		permits = append(permits, p)
+	}
+	sent := f.now
+	for i, p := range permits {
+		f.now = f.now.Add(50 * time.Millisecond)
+		p.Crashed(f.now, quarantine.Crash{Endpoint: fmt.Sprint("e", i), Attempt: fmt.Sprint("a", i), Sent: sent})
+		p.Done(f.now)
+	}
+	if len(f.Quarantines()) > 0 {
+		t.Error("a part is quarantined")
+	}
+	f.want("", 1, "rare") // one request may try it
+	p, err := f.enter(1, "rare")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.want(quarantine.ReasonSuspect, 1, "rare") // and no second one meanwhile
+	p.Begun(f.now)
+	f.want("", 1, "rare")
+}
+
+// While ordinary requests are lost as well, more crashes are needed.
+func TestCrashesAmongOtherLosses(t *testing.T) {
+	f := newFixture(t)
+	for i := range 40 {
+		f.begin(1, fmt.Sprint("f", i))
+	}
+	for i := range 40 {
+		f.crash(1, fmt.Sprint("f", i))
+	}
+	for range 3 {
+		f.crash(1, "part")
+	}
+	f.want("", 1, "part")
+	for i := range 200 {
+		f.begin(1, fmt.Sprint("g", i))
+	}
+	f.want(quarantine.ReasonQuarantined, 1, "part")
+}
+
+// What an entry remembers and reports must not grow with the number of parts.
+func TestPartsSeenOnce(t *testing.T) {
+	f := newFixture(t)
+	for i := range 200_000 {
+		f.begin(1, fmt.Sprint("f", i))
+	}
+	for i := range 2000 {
+		f.now = f.now.Add(time.Second)
+		f.crash(1, fmt.Sprint("g", i))
+	}
+	report, due := f.Report(f.now)
+	if n := len(report.Crashes) + len(report.Begins) + len(report.Verdicts) + len(report.Trials); !due || n == 0 || n > 100 {
+		t.Errorf("report with %d items, due %v", n, due)
+	}
+	if begun, crashes := f.Remembered(); begun > 2*quarantine.MaxBegunParts || crashes > quarantine.MaxCrashes {
+		t.Errorf("%d parts and %d crashes are remembered", begun, crashes)
+	}
+}
--- a/internal/traffic/quarantine/report.go
+++ b/internal/traffic/quarantine/report.go
@@ -151,13 +151,20 @@
 	for _, q := range r.Verdicts {
 		t.apply(now, q)
 	}
+	begun := make(map[uint64]bool, len(r.Begins))
+	for _, x := range r.Begins {
+		begun[x.Part] = true
+	}
 	for _, x := range r.Crashes {
 		c := &crash{id: partKey(x.ID), weights: x.Weights, sent: now.Add(-x.SentAge), at: now.Add(-x.Age)}
 		for _, part := range x.Parts {
 			c.parts = append(c.parts, partKey(part))
 		}
 		if x.Age <= crashRetention && len(c.parts) > 0 && len(c.parts) <= maxPartsPerCrash && t.evidence.add(now, c) {
-			t.changed = now // the answers that have begun here on its parts are news to the others
+			// Answers that have begun here are news if the other entry knows of none.
+			if slices.ContainsFunc(x.Parts, func(part uint64) bool { return !begun[part] && len(t.evidence.begins(partKey(part))) > 0 }) {
+				t.changed = now
+			}
 		}
 	}
 	for _, x := range r.Begins {
--- a/internal/traffic/quarantine/table.go
+++ b/internal/traffic/quarantine/table.go
@@ -10,6 +10,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,6 +69,14 @@
 	return partKey(h.Sum64())
 }
 
+func keysOf(service string, parts []string) []partKey {
+	out := make([]partKey, len(parts))
+	for i, part := range parts {
+		out[i] = keyOf(service, part)
+	}
+	return out
+}
+
 // trial is a request with a suspect part that is in progress.
 type trial struct {
 	began time.Time
@@ -116,15 +125,17 @@
 func (t *Table) Check(now time.Time, service string, parts []string) ([]int64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	keys := t.knownKeys(service, parts)
-	if len(keys) == 0 {
+	if t.verdicts.empty() && len(t.evidence.crashes) == 0 {
 		return nil, nil
 	}
+	keys := keysOf(service, parts)
 	v := t.verdicts.match(keys)
-	if v == nil || t.mayProbe(now, v, keys) {
+	switch {
+	case v == nil:
+		return nil, t.tryAll(now, t.suspects(now, keys), parts, keys)
+	case t.mayProbe(now, v, keys):
 		return nil, nil
-	}
-	if t.evidence.soundElsewhere(v) {
+	case t.evidence.soundElsewhere(v):
 		return v.weights, nil
 	}
 	return nil, t.held(now, v)
@@ -136,10 +147,7 @@
 func (t *Table) Enter(now time.Time, service string, parts []string, weights int64) (*Permit, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := &Permit{table: t, service: service, names: parts, weights: weights}
-	for _, part := range parts {
-		p.parts = append(p.parts, keyOf(service, part))
-	}
+	p := &Permit{table: t, service: service, names: parts, parts: keysOf(service, parts), weights: weights}
 	if v := t.verdicts.match(p.parts); v != nil && !t.evidence.soundWith(v, weights) {
 		if !t.mayProbe(now, v, p.parts) {
 			return nil, t.held(now, v)
@@ -152,26 +160,23 @@
 		return nil, t.held(now, v)
 	}
 	suspects := t.suspects(now, p.parts)
-	for _, key := range suspects {
-		if !t.mayTry(now, key) {
-			return nil, &HeldError{Reason: ReasonSuspect, Parts: []string{p.name(key)}, RetryAfter: suspectRetry + time.Duration(t.rng.Int64N(int64(suspectRetry)))}
-		}
+	if err := t.tryAll(now, suspects, parts, p.parts); err != nil {
+		return nil, err
 	}
 	t.startTrial(now, p, suspects)
 	return p, nil
 }
 
-// knownKeys returns the keys of the parts, or none if there is nothing known against any
-// of them.
-func (t *Table) knownKeys(service string, parts []string) []partKey {
-	if t.verdicts.empty() {
-		return nil
-	}
-	keys := make([]partKey, len(parts))
-	for i, part := range parts {
-		keys[i] = keyOf(service, part)
+// tryAll returns a *HeldError if one of the suspects must not be tried now. keys are the
+// keys of the parts.
+func (t *Table) tryAll(now time.Time, suspects []partKey, parts []string, keys []partKey) error {
+	for _, key := range suspects {
+		if !t.mayTry(now, key) {
+			retry := suspectRetry + time.Duration(t.rng.Int64N(int64(suspectRetry)))
+			return &HeldError{Reason: ReasonSuspect, Parts: []string{parts[slices.Index(keys, key)]}, RetryAfter: retry}
+		}
 	}
-	return keys
+	return nil
 }
 
 // held returns the error for a request that a verdict keeps from endpoints.
@@ -179,7 +184,7 @@
 	return &HeldError{Reason: ReasonQuarantined, Parts: v.parts, RetryAfter: max(v.nextProbe.Sub(now), firstProbe)}
 }
 
-// suspects returns the parts that requests have to be tried for one at a time. A part of
+// suspects returns the parts that requests have to be tried for one at a time. A part on
 // which answers have begun before is suspect from its second crash on.
 func (t *Table) suspects(now time.Time, parts []partKey) []partKey {
 	var out []partKey
@@ -188,7 +193,7 @@
 		if len(blamed) == 0 {
 			continue
 		}
-		if successive(blamed) > 1 || !t.evidence.known(key, blamed[0].at) {
+		if successive(blamed) > 1 || !t.evidence.known(key, blamed[0].at, blamed[0].weights) {
 			out = append(out, key)
 		}
 	}
@@ -249,6 +254,8 @@
 			p.trials = make(map[partKey]*trial)
 		}
 		p.trials[key] = x
-		t.changed = now
+		if key != p.parts[len(p.parts)-1] { // no other request has the last part
+			t.changed = now
+		}
 	}
 }
--- a/internal/traffic/sharing/sharing_test.go
+++ b/internal/traffic/sharing/sharing_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -18,6 +19,7 @@
 	"fulmardeal"
 	"fulmardeal/internal/fleet/catalogue"
 	"fulmardeal/internal/traffic/dispatch"
+	"fulmardeal/internal/traffic/quarantine"
 )
 
 func testReport(loads, refused int) dispatch.LoadReport {
@@ -55,6 +57,68 @@
 	}
 }
 
+func testQuarantineReport(crashes int) quarantine.Report {
+	r := quarantine.Report{
+		Entry:  "entry-1",
+		Trials: []quarantine.ReportedTrial{{Part: 1 << 60, Age: 20 * time.Millisecond}},
+		Verdicts: []fulmardeal.Quarantine{
+			{Service: "llm", Parts: []string{"5c1e07a2", "91bd3f06"}, Weights: []int64{0, 3}, Crashes: 4, Probes: 1, Serial: 2, Since: time.UnixMilli(1000)},
+			{Service: "llm", Parts: []string{"e4402b7d"}, Serial: 3, Released: true, Since: time.UnixMilli(2000)},
+		},
+		Begins: []quarantine.ReportedBegin{{Part: 7, Weights: 2, Age: time.Minute}},
+	}
+	for i := range crashes {
+		r.Crashes = append(r.Crashes, quarantine.ReportedCrash{ID: uint64(i) << 40, Parts: []uint64{1, uint64(i)}, Weights: 2, SentAge: time.Second, Age: 700 * time.Microsecond})
+	}
+	return r
+}
+
+// Evidence of crashes is transferred completely, in datagrams that are each valid by
+// themselves.
+func TestQuarantineReportRoundTrip(t *testing.T) {
+	for _, crashes := range []int{0, 1, 200} {
+		want := testQuarantineReport(crashes)
+		var got quarantine.Report
+		for i, b := range encodeQuarantineReport(want) {
+			if len(b) > maxDatagram {
+				t.Errorf("datagram of %d bytes exceeds the limit", len(b))
+			}
+			part, err := decodeQuarantineReport(b[1:])
+			if err != nil {
+				t.Fatal(err)
+			}
+			if part.Partial != (i > 0) || part.Entry != want.Entry {
+				t.Errorf("datagram %d: partial %v, entry %q", i, part.Partial, part.Entry)
+			}
+			got.Entry = part.Entry
+			got.Trials, got.Verdicts = append(got.Trials, part.Trials...), append(got.Verdicts, part.Verdicts...)
+			got.Begins, got.Crashes = append(got.Begins, part.Begins...), append(got.Crashes, part.Crashes...)
+		}
+		if d := cmp.Diff(want, got); d != "" {
+			t.Errorf("%d crashes: %s", crashes, d)
+		}
+	}
+}
+
+// A verdict that doesn't fit into a datagram is left out, and the rest is sent.
+func TestOversizedVerdictLeftOut(t *testing.T) {
+	want := testQuarantineReport(1)
+	r := want
+	large := fulmardeal.Quarantine{Service: "llm"}
+	for range 32 {
+		large.Parts = append(large.Parts, strings.Repeat("x", 64))
+	}
+	r.Verdicts = append([]fulmardeal.Quarantine{large}, want.Verdicts...)
+	parts := encodeQuarantineReport(r)
+	got, err := decodeQuarantineReport(parts[0][1:])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(want, got); d != "" || len(parts) != 1 {
+		t.Errorf("%d datagrams, difference: %s", len(parts), d)
+	}
+}
+
 // A report with a lost part is ignored.
 func TestLostReportPart(t *testing.T) {
 	m := &Mesh{partialReports: make(map[string]*reportPart)}
@@ -137,6 +201,7 @@
 	f.Add(encodeReport("e", "a", 1, testReport(3, 2))[0])
 	f.Add(encodeAgentUpdate(now, testAgentUpdate()))
 	f.Add(encodeEngineStatus(EngineStatus{Address: "a:1", Weights: 1}))
+	f.Add(encodeQuarantineReport(testQuarantineReport(2))[0])
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if len(data) == 0 {
 			return
@@ -156,6 +221,14 @@
 			}
 		}
 		_, _ = decodeEngineStatus(data[1:]) // must not panic
+		if r, err := decodeQuarantineReport(data[1:]); err == nil {
+			for _, x := range r.Crashes {
+				if x.Age < 0 || x.SentAge < 0 || x.Weights < 0 {
+					t.Errorf("invalid crash accepted: %+v", x)
+				}
+			}
+			quarantine.New(quarantine.Options{}).ApplyReport(now, r) // must not panic
+		}
 	})
 }
 
