cli/command, traffic/quarantine: operators can list and release quarantined parts

A release is a record with a higher serial, so that no older one returns, and the crashes before it are no evidence any more, here or in the reports of other entries: without that, the next request passed the same verdict again (TestReleaseByOperator). The record of a released quarantine therefore stays in the store.

--- a/internal/cli/command/command.go
+++ b/internal/cli/command/command.go
@@ -116,6 +116,7 @@
 		{"agent", "Run the agent of an endpoint", agentHelp, &agentCommand{env: env}},
 		{"gateway", "Run an entry on the users' platform", gatewayHelp, &gatewayCommand{env: env}},
 		{"loader", "Run the agent of an engine on the users' platform", loaderHelp, &loaderCommand{env: env}},
+		{"quarantine", "Print or release parts of prompts that crash endpoints", quarantineHelp, &quarantineCommand{env: env}},
 		{"soak", "Inject faults into the system on a simulated platform and check its guarantees", soakHelp, &soakCommand{env: env}},
 		{"explain", "Print the events of one request from logs", explainHelp, &explain{env: env}},
 		{"standin", "Run a simulated platform service or endpoint", standinHelp, &standin{env: env}},
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -93,11 +93,7 @@
 func (m *memStore) Era() int64                     { return 0 }
 
 func (m *memStore) PutQuarantine(_ context.Context, q fulmardeal.Quarantine) error {
-	c := fulmardeal.Change{Key: "quarantine/" + strings.Join(q.Parts, ","), Quarantine: &q}
-	if q.Released {
-		c = fulmardeal.Change{Key: c.Key, Gone: true}
-	}
-	m.put("entries", c)
+	m.put("entries", fulmardeal.Change{Key: "quarantine/" + strings.Join(q.Parts, ","), Quarantine: &q})
 	return nil
 }
 
--- a/internal/traffic/quarantine/evidence.go
+++ b/internal/traffic/quarantine/evidence.go
@@ -119,6 +119,15 @@
 	}
 }
 
+// forget removes the crashes that involve all the given parts.
+func (e *evidence) forget(keys []partKey) {
+	for _, c := range slices.Clone(e.byPart[keys[0]]) {
+		if containsAll(c.parts, keys) {
+			e.remove(c)
+		}
+	}
+}
+
 // expire removes crashes that are old, or whose parts have been cleared.
 func (e *evidence) expire(now time.Time) {
 	if now.Sub(e.expired) < expireInterval {
--- a/internal/traffic/quarantine/quarantine_test.go
+++ b/internal/traffic/quarantine/quarantine_test.go
@@ -155,6 +155,63 @@
 	f.want("", 1, "part")
 }
 
+// A request on its way must be withdrawn when its part is quarantined, unless its answer has
+// begun or it is a probe.
+func TestRequestsOnTheirWay(t *testing.T) {
+	f := newFixture(t)
+	f.begin(1, "shared")
+	waiting, err := f.enter(1, "shared", "part")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sound, err := f.enter(1, "shared")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Apply(f.now, fulmardeal.Quarantine{Service: "llm", Parts: []string{"part"}, Weights: []int64{1}, Serial: 1})
+	if !waiting.Condemned() || sound.Condemned() {
+		t.Errorf("condemned: %v with the part, %v without", waiting.Condemned(), sound.Condemned())
+	}
+	f.now = f.now.Add(time.Minute)
+	probe, err := f.enter(1, "part")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if probe.Condemned() {
+		t.Error("a probe is condemned")
+	}
+	waiting.Begun(f.now) // shows that the part is sound
+	if waiting.Condemned() || len(f.Quarantines()) > 0 {
+		t.Error("a part on which an answer has begun stays quarantined")
+	}
+}
+
+// An operator's release must hold although the crashes are still known, here and to other
+// entries, and new crashes count again.
+func TestReleaseByOperator(t *testing.T) {
+	f, other := newFixture(t), newFixture(t)
+	for range 3 {
+		f.crash(1, "part")
+	}
+	f.want(quarantine.ReasonQuarantined, 1, "part")
+	other.now = f.now
+	report, _ := f.Report(f.now)
+	other.ApplyReport(f.now, report)
+	q := f.Quarantines()[0]
+	q.Serial, q.Released = q.Serial+1, true
+	f.now = f.now.Add(time.Second)
+	f.Apply(f.now, q)
+	f.want("", 1, "part")
+	if report, due := other.Report(f.now); due {
+		f.ApplyReport(f.now, report)
+	}
+	f.want("", 1, "part")
+	for range 3 {
+		f.crash(1, "part")
+	}
+	f.want(quarantine.ReasonQuarantined, 1, "part")
+}
+
 // Requests that were in progress at several endpoints at the same time count once, however
 // many of these end.
 func TestEndpointsThatEndTogether(t *testing.T) {
--- a/internal/traffic/quarantine/report.go
+++ b/internal/traffic/quarantine/report.go
@@ -160,7 +160,7 @@
 		for _, part := range x.Parts {
 			c.parts = append(c.parts, partKey(part))
 		}
-		if x.Age <= crashRetention && len(c.parts) > 0 && len(c.parts) <= maxPartsPerCrash && t.evidence.add(now, c) {
+		if x.Age <= crashRetention && len(c.parts) > 0 && len(c.parts) <= maxPartsPerCrash && !t.released(c) && t.evidence.add(now, c) {
 			// Answers that have begun here are news if the other entry knows of none.
 			if slices.ContainsFunc(x.Parts, func(part uint64) bool { return !begun[part] && len(t.evidence.begins(partKey(part))) > 0 }) {
 				t.changed = now
--- a/internal/traffic/quarantine/verdict.go
+++ b/internal/traffic/quarantine/verdict.go
@@ -78,13 +78,7 @@
 	key := setKey(v.keys)
 	s.drop(key)
 	if len(s.byKey) >= maxVerdicts {
-		oldest := key
-		for k, o := range s.byKey {
-			if s.byKey[oldest] == nil || o.since.Before(s.byKey[oldest].since) {
-				oldest = k
-			}
-		}
-		s.drop(oldest)
+		s.drop(s.leastImportant())
 	}
 	s.byKey[key] = v
 	for _, k := range v.keys {
@@ -92,6 +86,19 @@
 	}
 }
 
+// leastImportant returns the key of the oldest verdict, of the released ones if there are
+// any.
+func (s *verdicts) leastImportant() partKey {
+	var key partKey
+	var least *verdict
+	for k, v := range s.byKey {
+		if least == nil || v.released && !least.released || v.released == least.released && v.since.Before(least.since) {
+			key, least = k, v
+		}
+	}
+	return key
+}
+
 func (s *verdicts) drop(key partKey) {
 	old := s.byKey[key]
 	if old == nil {
@@ -184,9 +191,23 @@
 	}
 	v.released = true
 	t.verdicts.update(now, v)
+	t.evidence.forget(v.keys)
 	t.changed = now
 }
 
+// released reports whether a verdict on parts of a crash was released after it. Such a
+// crash is no evidence any more. The caller must hold t.mu.
+func (t *Table) released(c *crash) bool {
+	for _, key := range c.parts {
+		for _, v := range t.verdicts.byPart[key] {
+			if v.released && !c.at.After(v.changed) && containsAll(c.parts, v.keys) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // mayProbe reports whether this entry may send a request to find out whether its parts
 // are sound again. The caller must hold t.mu.
 func (t *Table) mayProbe(now time.Time, v *verdict, keys []partKey) bool {
@@ -244,6 +265,9 @@
 		}
 	}
 	t.verdicts.put(v)
+	if v.released {
+		t.evidence.forget(v.keys)
+	}
 	t.verdicts.changes = append(t.verdicts.changes, Change{Quarantine: v.quarantine()})
 	t.changed = now
 }
