process/loader: order an engine again that crashes soon after an order

What callers saw: an engine that crashed twice within 10 s had no weights until 10 s after the first order, so that its service lacked that capacity.

Cause: an order counts as pending for 10 s, whatever becomes of the engine. Its restart forgets the order.

Change: an order is pending only as long as the engine has not started again, which its start time or its number of orders tells. The latter counts from 0.5 s after the order on.

--- a/internal/process/loader/loader_test.go
+++ b/internal/process/loader/loader_test.go
@@ -95,6 +95,15 @@
 	orders        []string
 	corruptStaged bool // corrupt one chunk once all chunks are staged
 	lostResponses int  // number of orders that take effect although their response is lost
+	started       time.Time
+	accepted      int64 // orders accepted since the start
+}
+
+// crash restarts the engine. It keeps what is staged.
+func (e *fakeEngine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held, e.next, e.loadingUntil, e.accepted, e.started = 0, 0, time.Time{}, 0, time.Now()
 }
 
 func (e *fakeEngine) PutChunk(_ context.Context, _ fulmardeal.Version, index int, data []byte) error {
@@ -134,7 +143,7 @@
 	if !busy && e.next != 0 {
 		e.held, e.next = e.next, 0
 	}
-	s := fulmardeal.EngineState{Loading: busy, OrderCount: int64(len(e.orders))}
+	s := fulmardeal.EngineState{Loading: busy, OrderCount: e.accepted, StartedAt: e.started}
 	if e.held != 0 && !busy {
 		s.Spans = []fulmardeal.Span{{From: 0, To: 4, Version: e.held}}
 	}
@@ -145,7 +154,7 @@
 func (e *fakeEngine) StartLoad(_ context.Context, v fulmardeal.Version, expect int64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if expect != int64(len(e.orders)) {
+	if expect != e.accepted {
 		return &fulmardeal.RefusedOrderError{Reason: "sequence"}
 	}
 	for i := range chunks {
@@ -154,6 +163,7 @@
 		}
 	}
 	e.orders = append(e.orders, v.Name)
+	e.accepted++
 	e.next, _ = strconv.ParseInt(v.Name, 10, 64)
 	e.loadingUntil = time.Now().Add(30 * time.Millisecond)
 	if e.lostResponses > 0 {
--- a/internal/process/loader/work.go
+++ b/internal/process/loader/work.go
@@ -22,6 +22,11 @@
 	// can take several seconds.
 	orderTimeout = 10 * time.Second
 
+	// orderSettleTime is how long an accepted order may not show in the engine's
+	// state. Without it, an order would be sent again at once to an engine that
+	// accepts it and doesn't count it.
+	orderSettleTime = 500 * time.Millisecond
+
 	// downloadRetryDelay is the delay before a failed download is retried.
 	// Downloads fail at startup, for example, while the origin is not yet
 	// reachable.
@@ -86,7 +91,19 @@
 	reportedLoading bool        // whether the engine was loading according to the last report
 	reportedAt      time.Time
 	orderedAt       time.Time
-	orderedVersion  int64 // version that the engine was last ordered to load
+	orderedVersion  int64     // version that the engine was last ordered to load
+	orderedStart    time.Time // start of the engine that got the order; zero if unknown
+	orderedCount    int64     // number of orders that it had accepted before
+}
+
+// orderPending reports whether the last order may still take effect: it was for the
+// version, and the engine has not been restarted since.
+func (s *loadState) orderPending(version int64, e fulmardeal.EngineState) bool {
+	age := time.Since(s.orderedAt)
+	if s.orderedVersion != version || age >= orderTimeout || !e.StartedAt.Equal(s.orderedStart) {
+		return false
+	}
+	return age < orderSettleTime || e.OrderCount > s.orderedCount
 }
 
 // reconcileLoop calls reconcile until the context ends, then cancels the
@@ -260,7 +277,7 @@
 	if newest == nil {
 		return false
 	}
-	if state.Loading || s.orderedVersion == newest.number && time.Since(s.orderedAt) < orderTimeout {
+	if state.Loading || s.orderPending(newest.number, state) {
 		return true
 	}
 	if held != 0 && time.Now().Before(l.changeTime(model, held)) {
@@ -289,6 +306,7 @@
 		return true
 	}
 	s.orderedAt, s.orderedVersion = time.Now(), newest.number
+	s.orderedStart, s.orderedCount = state.StartedAt, state.OrderCount
 	l.log.Info("load order sent to the engine", "version", newest.version.String(), "held", held, "running", state.Running, "waiting", state.Waiting)
 	return true
 }
