proof/soak: requests that crash engines, beside racks that are gone and lost power

Three new faults: callers send requests with a part that crashes each engine that begins to answer it; two of three endpoints crash at once; all processes are killed and all endpoints lose power. Two promises: three arrivals at most later than 3 s after the fifth crash, by entries in touch (`quarantined`), and no other request refused for its parts (`sound`). An instance whose endpoint has crashed now refuses connections, as one does whose process is gone; its proxy accepted them before.

--- a/internal/proof/soak/answers.go
+++ b/internal/proof/soak/answers.go
@@ -60,6 +60,7 @@
 	case platform.GuaranteesNotRun(resp.StatusCode):
 		c.counts.Refused++
 		r.refused = true
+		c.checkSound(r, body)
 		if len(r.runs) > 0 && !r.route.Repeatable() {
 			c.record(GuaranteeTrueRefusal, r.attempt, "refused with status %d, although it ran at %v", resp.StatusCode, r.runs)
 		}
--- a/internal/proof/soak/caller.go
+++ b/internal/proof/soak/caller.go
@@ -27,6 +27,7 @@
 	modelName       = "rhyme"
 	promptTokens    = 200 // length of the prompt of each stream request
 	outputTokens    = 60
+	sharedParts     = 5 // first parts of prompts
 )
 
 // caller sends one request at a time over a persistent connection, until the
@@ -36,8 +37,10 @@
 	number     int
 	random     *rand.Rand
 	client     *http.Client
-	entry      int // index of the entry that the connection leads to; -1 for none
-	sent       int // number of requests sent
+	entry      int    // index of the entry that the connection leads to; -1 for none
+	sent       int    // number of requests sent
+	name       string // prefix of the ids of its requests; empty for one with its number
+	poison     string // poisoned part of all its prompts; empty for none
 }
 
 func newCaller(d *deployment, number int, seed uint64) *caller {
@@ -58,6 +61,27 @@
 	}
 }
 
+// attempt returns the id of the next request.
+func (c *caller) attempt() string {
+	if c.name != "" {
+		return fmt.Sprintf("%s-%d", c.name, c.sent)
+	}
+	return fmt.Sprintf("c%d-%d", c.number, c.sent)
+}
+
+// prompt returns the parts of a prompt: one that many requests share, in some prompts one
+// that few share, and the request's own. A poisoned part comes among them.
+func (c *caller) prompt(attempt string) string {
+	parts := fmt.Sprintf("f%d:40", c.random.IntN(sharedParts))
+	if c.random.IntN(3) == 0 {
+		parts += fmt.Sprintf(",m%d-%d:20", c.number, c.sent/10)
+	}
+	if c.poison != "" {
+		parts += "," + c.poison + ":10"
+	}
+	return parts + "," + attempt + ":130"
+}
+
 // sendRequest sends one request. If the system refuses it, sendRequest returns how
 // long the caller is asked to wait before the next request, and at most a second.
 // Otherwise it returns 0.
@@ -65,9 +89,12 @@
 	c.entry = c.deployment.fleet.pickEntry(c.entry, c.random)
 	c.sent++
 	route := &c.deployment.routes[c.random.IntN(len(c.deployment.routes))]
+	for c.poison != "" && route.Kind != fulmardeal.KindStream {
+		route = &c.deployment.routes[c.random.IntN(len(c.deployment.routes))]
+	}
 	customer := &c.deployment.customers[c.random.IntN(len(c.deployment.customers))]
 	r := &request{
-		attempt:  fmt.Sprintf("c%d-%d", c.number, c.sent),
+		attempt:  c.attempt(),
 		route:    route,
 		customer: customer,
 		key:      customer.Keys[c.random.IntN(len(customer.Keys))],
@@ -75,6 +102,7 @@
 		path:     fmt.Sprintf("%sx%d?q=%d", route.Prefix, c.random.IntN(100), c.sent),
 		entry:    c.entry,
 		deadline: 2 * route.Timeout,
+		poison:   c.poison,
 	}
 	if route.Kind == fulmardeal.KindIdempotent {
 		r.method = http.MethodGet
@@ -95,6 +123,7 @@
 	metadata := fulmardeal.RequestMetadata{AttemptID: r.attempt, Deadline: r.deadline, APIKey: r.key}
 	if route.Kind == fulmardeal.KindStream {
 		metadata.Model, metadata.PromptTokens, metadata.MaxOutputTokens, metadata.ExpectedOutputTokens = modelName, promptTokens, outputTokens, outputTokens
+		metadata.PromptPrefix = c.prompt(r.attempt)
 	}
 	platform.PeerCodec{}.SetRequestMetadata(httpReq.Header, metadata)
 	r.sent = time.Now()
--- a/internal/proof/soak/checker.go
+++ b/internal/proof/soak/checker.go
@@ -37,6 +37,8 @@
 	GuaranteeAdmitted       Guarantee = "admitted"        // valid requests are not rejected as unauthorized, forbidden or not found
 	GuaranteeGraceful       Guarantee = "graceful"        // planned stops interrupt no request, and processes exit with 0
 	GuaranteeUnbroken       Guarantee = "unbroken"        // a request that a sound endpoint runs is not given up before its time is up, nor left without an answer
+	GuaranteeQuarantined    Guarantee = "quarantined"     // requests with a part that crashes endpoints are kept from them
+	GuaranteeSound          Guarantee = "sound"           // no other request is refused for its parts
 	GuaranteeRecovery       Guarantee = "recovery"        // requests are served again after the faults
 )
 
@@ -102,6 +104,7 @@
 	entry    int // index of the entry that the request was sent to
 	sent     time.Time
 	deadline time.Duration // how long after sent the caller waits
+	poison   string        // part of its prompt that crashes endpoints; empty for none
 
 	arrivals  []time.Time       // times at which the request reached any endpoint
 	addresses map[string]string // addresses of the endpoints that the request reached, by their IDs
@@ -146,6 +149,7 @@
 	notices      []notice
 	restarts     []restart
 	published    []requirement
+	poisoned     map[string]*poisonRecord
 	coldArrivals map[string][]time.Time // arrivals in the last second at each endpoint in its cold phase
 	violations   []Violation
 	excessRuns   []Violation
@@ -166,7 +170,7 @@
 // NewChecker returns a Checker of a run that begins now. The map gives the
 // region of each data centre.
 func NewChecker(regions map[string]string) *Checker {
-	return &Checker{regions: regions, startTime: time.Now(), requests: make(map[string]*request), coldArrivals: make(map[string][]time.Time)}
+	return &Checker{regions: regions, startTime: time.Now(), requests: make(map[string]*request), poisoned: make(map[string]*poisonRecord), coldArrivals: make(map[string][]time.Time)}
 }
 
 // record records a violation. c.mu must be held.
@@ -279,6 +283,7 @@
 	c.checkUnmodified(r, a)
 	c.checkDestination(r, a)
 	c.checkNotices(r, a)
+	c.checkPoison(r, a)
 	left := r.deadline - a.Time.Sub(r.sent)
 	// If a fault delayed the request in transit, less time is left than when the
 	// entry computed the deadline, so the check would fail without a violation.
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -66,6 +66,18 @@
 	f.req.sent = time.Now()
 }
 
+// poisoned lets endpoints crash on a part of the request's prompt, and the request arrive
+// some times afterwards.
+func (f *fixture) poisoned(crashes int, after time.Duration, arrivals int) {
+	f.req.poison = "dead-1"
+	for range crashes {
+		f.crashed(f.arrival)
+	}
+	f.delay(after)
+	f.arrival.Forward.Deadline = f.req.deadline
+	f.receive(arrivals)
+}
+
 func (f *fixture) respond(status int, signature string, body string, err error) {
 	h := http.Header{}
 	if signature != "" {
@@ -230,6 +242,23 @@
 		{"no answer begun, a second endpoint broke off", stream, func(f *fixture) { f.cutAfterSecond("") }, GuaranteeUnbroken},
 		{"no answer beside another endpoint's fault", once, func(f *fixture) { f.Disturb("endpoint-1"); f.run(); f.requestFailed(f.req, errors.New("EOF"), false) }, GuaranteeUnbroken},
 		{"no answer, its endpoint crashed", once, func(f *fixture) { f.Disturb("10.0.0.1:1"); f.run(); f.requestFailed(f.req, errors.New("EOF"), false) }, GuaranteeUnbroken},
+		{"poisoned, long after the fifth crash", stream, func(f *fixture) { f.poisoned(5, 3100*time.Millisecond, 4) }, GuaranteeQuarantined},
+		{"poisoned, as many as are tolerated", stream, func(f *fixture) { f.poisoned(5, 3100*time.Millisecond, 3) }, ""},
+		{"poisoned, soon after the fifth crash", stream, func(f *fixture) { f.poisoned(5, 2900*time.Millisecond, 9) }, ""},
+		{"poisoned, after the fourth crash", stream, func(f *fixture) { f.poisoned(4, 10*time.Second, 9) }, ""},
+		{"poisoned, by an entry that was killed", stream, func(f *fixture) {
+			f.Disturb("entry-0")
+			f.poisoned(5, 10*time.Second, 9)
+		}, ""},
+		{"poisoned, the endpoint disturbed", stream, func(f *fixture) {
+			f.Disturb("10.0.0.1:1")
+			f.poisoned(5, 3100*time.Millisecond, 4)
+		}, GuaranteeQuarantined},
+		{"sound, refused for its parts", stream, func(f *fixture) { f.respond(503, "", "quarantined\n", nil) }, GuaranteeSound},
+		{"poisoned, refused for its parts", stream, func(f *fixture) {
+			f.req.poison = "dead-1"
+			f.respond(503, "", "quarantined\n", nil)
+		}, ""},
 		{"caller left", once, func(f *fixture) { f.run(); f.requestFailed(f.req, errors.New("EOF"), true) }, ""},
 	}
 	for _, tc := range tests {
--- a/internal/proof/soak/deployment.go
+++ b/internal/proof/soak/deployment.go
@@ -69,6 +69,7 @@
 	busy           map[int]bool   // endpoints with a fault in progress
 	storeModes     []site.Mode    // modes of the store, one for each fault in progress
 	evacuations    map[string]int // evacuations in progress of each data centre
+	poisons        int            // poisoned parts so far
 }
 
 func (d *deployment) close() {
@@ -152,8 +153,10 @@
 	opts := site.EndpointOptions{
 		Service: serviceModel, DataCentre: dc, Address: d.address(1+n, portEndpoint), ListenAddress: d.address(1+n, portEndpointDirect), Slots: slots,
 		ServiceTime: eventServiceTime, Engine: d.engine(), Origin: d.origin, Observer: d.checker,
+		Poisoned: isPoison, Poison: func(a site.ReceivedRequest) { d.crashByPoison(n-shape.Entries, a) },
 	}
 	if k := n - shape.Entries - shape.Engines; k >= 0 {
+		opts.Poisoned = nil
 		opts.Service, opts.ServiceTime, opts.Engine, opts.WarmUp = servicePlain, plainServiceTime, nil, coldPeriod
 		if k/shape.DataCentres%2 == 1 {
 			opts.Service = serviceOther
--- a/internal/proof/soak/inject.go
+++ b/internal/proof/soak/inject.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"sync"
 	"syscall"
 	"time"
@@ -9,8 +10,12 @@
 	"fulmardeal/platform"
 )
 
-// inject causes a fault and returns when the fault has ended. It does not wait for
-// the end of FaultKillAll.
+// rackStep is such that one in so many endpoints survives FaultRack.
+const rackStep = 3
+
+// inject causes a fault and returns when the fault has ended. It does not wait for the
+// end of the faults of single processes and endpoints that FaultKillAll, FaultRack and
+// FaultPowerAll consist of.
 func (d *deployment) inject(fault Fault) {
 	switch fault.Kind {
 	case FaultKill, FaultTerminate, FaultPause, FaultReload, FaultCutStore:
@@ -35,6 +40,19 @@
 			silences.Go(func() { d.injectEndpoint(Fault{Kind: FaultSilent, For: fault.For, Target: i}) })
 		}
 		silences.Wait()
+	case FaultPoison:
+		d.poison(fault)
+	case FaultRack:
+		for i := range d.endpoints {
+			if i%rackStep != 0 {
+				go d.injectEndpoint(Fault{Kind: FaultCrash, Target: i})
+			}
+		}
+	case FaultPowerAll:
+		for i := range d.endpoints {
+			go d.injectEndpoint(Fault{Kind: FaultPowerLoss, Target: i})
+		}
+		d.inject(Fault{Kind: FaultKillAll, For: fault.For})
 	default:
 		d.injectEndpoint(fault)
 	}
@@ -203,10 +221,14 @@
 }
 
 func (d *deployment) restartEndpoint(i int, powerLoss bool) {
+	proxy := d.endpointProxies[i]
+	// The instance refuses connections while its process is gone. One without power
+	// doesn't reply; the proxy then accepts and resets them.
+	err := proxy.SetListening(powerLoss)
 	d.endpoints[i].Crash(powerLoss)
-	d.endpointProxies[i].Reset()
+	proxy.Reset()
 	time.Sleep(endpointRestartDelay)
-	if err := d.endpoints[i].Start(); err != nil {
+	if err := errors.Join(err, d.endpoints[i].Start(), proxy.SetListening(true)); err != nil {
 		d.checker.recordUnattributed(GuaranteeRecovery, "simulated endpoint %d could not be restarted: %v", i, err)
 	}
 }
--- a/internal/proof/soak/plan.go
+++ b/internal/proof/soak/plan.go
@@ -45,6 +45,9 @@
 	FaultEndless        Kind = "endless"       // every third answer of an endpoint never ends
 	FaultSilent         Kind = "silent"        // a sound endpoint sends nothing for a while and then goes on
 	FaultSilentAll      Kind = "silent-all"    // all endpoints without another fault are silent at once
+	FaultPoison         Kind = "poison"        // callers send requests with a part that crashes each engine that begins to answer it
+	FaultRack           Kind = "rack"          // most endpoints crash at once and restart
+	FaultPowerAll       Kind = "power-all"     // all processes are killed and all endpoints lose power at once
 )
 
 // targetKind is the kind of target that a fault affects.
@@ -94,6 +97,9 @@
 	{FaultEndless, targetEndpoint, 2},
 	{FaultSilent, targetEndpoint, 6},
 	{FaultSilentAll, targetNothing, 2},
+	{FaultPoison, targetNothing, 4},
+	{FaultRack, targetNothing, 2},
+	{FaultPowerAll, targetNothing, 1},
 }
 
 // Fault is one fault of a plan.
@@ -196,10 +202,19 @@
 	maxSilence = 2500 * time.Millisecond
 )
 
+// Requests with a poisoned part come for so long that the bounds on them apply.
+const (
+	minPoison = 5 * time.Second
+	maxPoison = 9 * time.Second
+)
+
 // durations returns the minimum and the maximum length of a fault.
 func (k Kind) durations() (shortest, longest time.Duration) {
-	if k == FaultSilent || k == FaultSilentAll {
+	switch k {
+	case FaultSilent, FaultSilentAll:
 		return minSilence, maxSilence
+	case FaultPoison:
+		return minPoison, maxPoison
 	}
 	return minDuration, maxDuration
 }
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -27,6 +28,7 @@
 	Body       []byte
 	Key        string // the customer's API key; empty unless an entry wrongly forwarded it
 	Attempt    string
+	Parts      []string // of the prompt
 	Forward    fulmardeal.ForwardMetadata
 	Version    int64 // version of the weights that serve the request
 	Incomplete bool  // a chunk of the weights that serve the request is missing or wrong
@@ -78,6 +80,11 @@
 	Engine        *fulmardeal.EngineSpec // nil for a plain service
 	Origin        *Origin                // where the engine's weights come from; not used if Engine is nil
 	Observer      Observer
+
+	// Poisoned reports whether the endpoint crashes when it begins to answer a request with
+	// a part of its prompt; nil for never. Poison is then called in a goroutine of its own.
+	Poisoned func(part string) bool
+	Poison   func(a ReceivedRequest)
 }
 
 // Endpoint is one endpoint of a service, including its model engine if it has
@@ -121,14 +128,17 @@
 	return e
 }
 
-// Start starts serving requests under a new id.
+// Start starts serving requests under a new id. It does nothing if the endpoint is up.
 func (e *Endpoint) Start() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.up {
+		return nil
+	}
 	l, err := net.Listen("tcp", e.options.ListenAddress)
 	if err != nil {
 		return err
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.startCount++
 	e.up, e.draining, e.leaving, e.startTime = true, false, false, time.Now()
 	var h http.Handler = http.HandlerFunc(e.serve)
@@ -209,7 +219,7 @@
 	metadata, forward := platform.PeerCodec{}.ReadForwardMetadata(r.Header)
 	ctx, cancel := context.WithTimeout(r.Context(), forward.Deadline)
 	defer cancel()
-	a := ReceivedRequest{Time: receivedAt(r), Method: r.Method, Path: r.URL.RequestURI(), Body: body, Key: metadata.APIKey, Attempt: metadata.AttemptID, Forward: forward}
+	a := ReceivedRequest{Time: receivedAt(r), Method: r.Method, Path: r.URL.RequestURI(), Body: body, Key: metadata.APIKey, Attempt: metadata.AttemptID, Parts: metadata.PromptParts, Forward: forward}
 	refusal := e.acquireSlot(ctx, &a)
 	reply := fulmardeal.ResponseMetadata{AttemptID: a.Attempt, Instance: a.Endpoint.ID, WeightsVersion: a.Version, Running: -1}
 	e.addNotice(a, refusal, &reply)
@@ -338,6 +348,12 @@
 	if err := http.NewResponseController(w).Flush(); err != nil {
 		return
 	}
+	if o := e.options; o.Poisoned != nil && slices.ContainsFunc(a.Parts, o.Poisoned) {
+		sleep(ctx, delay)
+		go o.Poison(a)
+		<-ctx.Done() // the crash ends the connection
+		panic(http.ErrAbortHandler)
+	}
 	first, _ := strconv.Atoi(a.Forward.LastEventID) // an empty value resumes at 0
 	for i := first + 1; i <= eventsPerStream; i++ {
 		sleep(ctx, delay)
--- a/internal/standin/site/proxy.go
+++ b/internal/standin/site/proxy.go
@@ -28,13 +28,14 @@
 // Proxy is a TCP proxy that forwards connections to a target and can inject
 // faults into them.
 type Proxy struct {
-	listener net.Listener
-	target   string
+	address string
+	target  string
 
-	mu     sync.Mutex
-	faults ProxyFaults
-	conns  map[net.Conn]struct{}
-	closed bool
+	mu       sync.Mutex
+	listener net.Listener // nil while new connections are refused
+	faults   ProxyFaults
+	conns    map[net.Conn]struct{}
+	closed   bool
 }
 
 // NewProxy listens on an address and forwards its connections to target. The
@@ -44,11 +45,33 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	p := &Proxy{listener: l, target: target, conns: make(map[net.Conn]struct{})}
-	go p.acceptLoop()
+	p := &Proxy{address: listen, target: target, listener: l, conns: make(map[net.Conn]struct{})}
+	go p.acceptLoop(l)
 	return p, p.close, nil
 }
 
+// SetListening makes the proxy refuse new connections, as an instance does whose process
+// has ended, or accept them again.
+func (p *Proxy) SetListening(listening bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.closed || listening == (p.listener != nil):
+		return nil
+	case !listening:
+		err := p.listener.Close()
+		p.listener = nil
+		return err
+	}
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.listener = l
+	go p.acceptLoop(l)
+	return nil
+}
+
 // SetFaults replaces the faults of all connections, including open ones.
 func (p *Proxy) SetFaults(f ProxyFaults) {
 	p.mu.Lock()
@@ -66,8 +89,10 @@
 }
 
 func (p *Proxy) close() {
-	p.listener.Close()
 	p.mu.Lock()
+	if p.listener != nil {
+		p.listener.Close()
+	}
 	p.closed = true
 	p.mu.Unlock()
 	p.Reset()
@@ -80,9 +105,9 @@
 	return p.faults, p.closed
 }
 
-func (p *Proxy) acceptLoop() {
+func (p *Proxy) acceptLoop(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
