proof/soak: a killed process is restarted before another signal is sent to it

A kill lasted 150 ms for the plan, however long the process took to be restarted on a busy host, so that SIGTERM met the process that had ended. The soak's own fault; a kill now lasts until the restart.

--- a/internal/proof/soak/inject.go
+++ b/internal/proof/soak/inject.go
@@ -88,8 +88,7 @@
 	defer end()
 	switch f.Kind {
 	case FaultKill:
-		d.fleet.signal(f.Target, syscall.SIGKILL, true)
-		time.Sleep(processRestartDelay)
+		d.fleet.kill(f.Target)
 	case FaultPause:
 		d.fleet.signal(f.Target, syscall.SIGSTOP, false)
 		time.Sleep(f.For)
--- a/internal/proof/soak/process.go
+++ b/internal/proof/soak/process.go
@@ -78,6 +78,7 @@
 // Behaviour of the simulated platform towards the processes.
 const (
 	processRestartDelay = 150 * time.Millisecond // from the exit of a process to its restart
+	restartPollInterval = 10 * time.Millisecond  // between two checks whether a process has been restarted
 	readinessInterval   = 500 * time.Millisecond // interval of the readiness checks
 	readinessTimeout    = 300 * time.Millisecond
 	unreadyThreshold    = 2 // failed checks in a row that take an entry out of rotation
@@ -160,6 +161,26 @@
 	return m.process
 }
 
+// kill ends a member's process and waits until it has been restarted. Another signal would
+// otherwise be sent to the process that has ended.
+func (f *fleet) kill(i int) {
+	m := f.members[i]
+	p := f.signal(i, syscall.SIGKILL, true)
+	for p != nil {
+		m.mu.Lock()
+		restarted := m.process != p
+		m.mu.Unlock()
+		if restarted {
+			return
+		}
+		select {
+		case <-f.closing:
+			return
+		case <-time.After(restartPollInterval):
+		}
+	}
+}
+
 // terminate stops a member with SIGTERM, and with SIGKILL if it does not exit
 // within its grace period.
 func (f *fleet) terminate(i int) {
