process/loader: the test of two manifest fetchers counts agents that waited

The test now allows one more for each agent that has waited so long, and fails for one that asks sooner.

--- a/internal/process/loader/loader_test.go
+++ b/internal/process/loader/loader_test.go
@@ -213,13 +213,18 @@
 
 // startAgentAt runs a loader at a loopback address.
 func startAgentAt(t *testing.T, host string, s *fakeOrigin, e Engine, within time.Duration) *Loader {
+	t.Helper()
+	return startAgentWithLog(t, host, s, e, within, slog.DiscardHandler)
+}
+
+func startAgentWithLog(t *testing.T, host string, s *fakeOrigin, e Engine, within time.Duration, log slog.Handler) *Loader {
 	t.Helper()
 	settings := fulmardeal.Settings{
 		Name: "side-1", IP: host, DataCentre: "a", Region: "r", Regions: map[string]string{"a": "r"},
 		PortRange: [2]int{7700, 7715}, EndpointAddress: "127.0.0.1:1", Service: "llm", Bounds: fulmardeal.Bounds{VersionSwitch: within},
 	}
 	l, cleanup, err := New(Options{
-		Settings: settings, Store: downStore{}, Engine: e, Log: slog.New(slog.DiscardHandler), Seed: 1,
+		Settings: settings, Store: downStore{}, Engine: e, Log: slog.New(log), Seed: 1,
 		Origin: func(string) (fulmardeal.Origin, func()) { return s, func() {} },
 	})
 	if err != nil {
@@ -248,13 +253,18 @@
 // runAgents runs n agents that know each other, announces version 1 to them, and
 // waits until all engines hold it.
 func runAgents(t *testing.T, n int, s *fakeOrigin) {
+	t.Helper()
+	runAgentsWithLog(t, n, s, slog.DiscardHandler)
+}
+
+func runAgentsWithLog(t *testing.T, n int, s *fakeOrigin, log slog.Handler) {
 	t.Helper()
 	var agents []*Loader
 	var engines []*fakeEngine
 	for range n {
 		e := &fakeEngine{t: t, staged: make(map[int][]byte)}
 		engines = append(engines, e)
-		agents = append(agents, startAgentAt(t, newHost(), s, e, 8*time.Second))
+		agents = append(agents, startAgentWithLog(t, newHost(), s, e, 8*time.Second, log))
 	}
 	for _, l := range agents {
 		sendTarget(l, 1, agents...)
@@ -265,13 +275,52 @@
 }
 
 // Only two agents of a region fetch a manifest from the origin, whose link is
-// slow. The others receive it from these two.
+// slow. The others receive it from these two, unless they have waited for it for
+// manifestTimeout.
 func TestManifestFetchedByTwoAgents(t *testing.T) {
 	s := &fakeOrigin{}
-	runAgents(t, 8, s)
-	if s.manifestsSent != manifestFetchers {
-		t.Errorf("%d manifests fetched from the origin, want %d", s.manifestsSent, manifestFetchers)
+	var log timeoutCounter
+	runAgentsWithLog(t, 8, s, &log)
+	timeouts := log.count(t)
+	if s.manifestsSent != manifestFetchers+timeouts {
+		t.Errorf("%d manifests fetched from the origin by %d agents that had waited for %v, want %d more", s.manifestsSent, timeouts, manifestTimeout, manifestFetchers)
+	}
+}
+
+// timeoutCounter is a log that counts agents that have waited for a manifest.
+type timeoutCounter struct {
+	slog.Handler
+	mu     sync.Mutex
+	waited []time.Duration
+}
+
+func (c *timeoutCounter) Enabled(context.Context, slog.Level) bool { return true }
+
+func (c *timeoutCounter) Handle(_ context.Context, r slog.Record) error {
+	if r.Message != "manifest not received from peers before the timeout" {
+		return nil
+	}
+	r.Attrs(func(a slog.Attr) bool {
+		if a.Key == "waited" {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.waited = append(c.waited, a.Value.Duration())
+		}
+		return true
+	})
+	return nil
+}
+
+// count returns how many agents have waited, and fails for those that gave up too soon.
+func (c *timeoutCounter) count(t *testing.T) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, d := range c.waited {
+		if d < manifestTimeout {
+			t.Errorf("an agent asked the origin after %v", d)
+		}
 	}
+	return len(c.waited)
 }
 
 // An origin whose link is busy takes longer to send a manifest than the agents wait
