process/loader: tests read the number of sent manifests under its lock

The race detector reported TestManifestFromBusyOrigin in 3 of 8 runs at a load of 23: an agent still asked the origin when the test read the count. Only the test is affected.

--- a/internal/process/loader/loader_test.go
+++ b/internal/process/loader/loader_test.go
@@ -63,6 +63,13 @@
 	return manifest.Encode(v, chunkSize, digests)
 }
 
+// manifests returns the number of manifests sent.
+func (s *fakeOrigin) manifests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.manifestsSent
+}
+
 func (s *fakeOrigin) Chunk(ctx context.Context, v fulmardeal.Version, index int) ([]byte, error) {
 	sleep(ctx, s.chunkTime)
 	s.mu.Lock()
@@ -281,9 +288,9 @@
 	s := &fakeOrigin{}
 	var log timeoutCounter
 	runAgentsWithLog(t, 8, s, &log)
-	timeouts := log.count(t)
-	if s.manifestsSent != manifestFetchers+timeouts {
-		t.Errorf("%d manifests fetched from the origin by %d agents that had waited for %v, want %d more", s.manifestsSent, timeouts, manifestTimeout, manifestFetchers)
+	sent, timeouts := s.manifests(), log.count(t)
+	if sent != manifestFetchers+timeouts {
+		t.Errorf("%d manifests fetched from the origin by %d agents that had waited for %v, want %d more", sent, timeouts, manifestTimeout, manifestFetchers)
 	}
 }
 
@@ -330,8 +337,8 @@
 func TestManifestFromBusyOrigin(t *testing.T) {
 	s := &fakeOrigin{manifestTime: 600 * time.Millisecond}
 	runAgents(t, 16, s)
-	if s.manifestsSent > 16/2 {
-		t.Errorf("%d of 16 agents fetched the manifest from the origin, want at most half of them", s.manifestsSent)
+	if sent := s.manifests(); sent > 16/2 {
+		t.Errorf("%d of 16 agents fetched the manifest from the origin, want at most half of them", sent)
 	}
 }
 
@@ -340,8 +347,8 @@
 func TestCorruptManifest(t *testing.T) {
 	s := &fakeOrigin{corruptManifests: 1}
 	runAgents(t, 8, s)
-	if s.manifestsSent <= manifestFetchers {
-		t.Errorf("only %d manifests fetched from the origin: a corrupt one was accepted", s.manifestsSent)
+	if sent := s.manifests(); sent <= manifestFetchers {
+		t.Errorf("only %d manifests fetched from the origin: a corrupt one was accepted", sent)
 	}
 }
 
