traffic/quarantine, process/gateway: end trials when answers begin, retry the store slowly

Found by reading: a trial of a suspect part counted as in progress until its whole answer had ended, up to 2 s, where evidence under other weights kept the part suspect; and an entry whose verdict the store refused called it again ten times a second, as all entries may at the same time. A trial now ends with the begin of its answer, and a failed write waits for 1 to 2 s. TestQuarantineStoredAfterOutage checks that the verdict arrives, with one call for each try.

--- a/internal/process/gateway/crash_test.go
+++ b/internal/process/gateway/crash_test.go
@@ -411,6 +411,38 @@
 	})
 }
 
+// A quarantine that the store doesn't take must be stored later, without a burst of calls.
+func TestQuarantineStoredAfterOutage(t *testing.T) {
+	store := newMemStore()
+	store.failPuts = 2
+	l := &crashLoad{t: t, store: store, parts: []string{"dead"}, closed: make(chan struct{})}
+	l.prepare(1)
+	var calls sync.WaitGroup
+	calls.Go(func() { l.repeat(soundInterval, &calls, l.sendSound) })
+	calls.Go(func() { l.repeat(poisonInterval, &calls, l.sendPoisoned) })
+	stored := func() (fulmardeal.Quarantine, bool) {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		for _, c := range store.records["entries"] {
+			if c.Quarantine != nil {
+				return *c.Quarantine, true
+			}
+		}
+		return fulmardeal.Quarantine{}, false
+	}
+	found := false
+	for begin := time.Now(); !found && time.Since(begin) < 15*time.Second; {
+		time.Sleep(50 * time.Millisecond)
+		_, found = stored()
+	}
+	close(l.closed)
+	calls.Wait()
+	q, _ := stored()
+	if !found || !slices.Equal(q.Parts, []string{"dead"}) || store.puts != 3 {
+		t.Errorf("stored %v after %d calls: %+v", found, store.puts, q)
+	}
+}
+
 // Endpoints that end for other reasons, and connections that are reset, must not get sound
 // requests refused for their parts.
 func TestOtherTroublesBlameNoPart(t *testing.T) {
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -28,6 +28,8 @@
 	unresponsive bool
 	records      map[string][]fulmardeal.Change // by topic
 	followed     map[string]int                 // by topic: number of records that have been applied
+	puts         int                            // calls of PutQuarantine
+	failPuts     int                            // how many of these fail
 }
 
 func newMemStore() *memStore {
@@ -93,6 +95,13 @@
 func (m *memStore) Era() int64                     { return 0 }
 
 func (m *memStore) PutQuarantine(_ context.Context, q fulmardeal.Quarantine) error {
+	m.mu.Lock()
+	m.puts++
+	failed := m.puts <= m.failPuts
+	m.mu.Unlock()
+	if failed {
+		return &fulmardeal.BusyError{Service: "store"}
+	}
 	m.put("entries", fulmardeal.Change{Key: "quarantine/" + strings.Join(q.Parts, ","), Quarantine: &q})
 	return nil
 }
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -10,9 +11,13 @@
 	"fulmardeal"
 )
 
-// quarantineStoreInterval is the interval between two checks for changed quarantines, and
-// after a failure to store one.
-const quarantineStoreInterval = 100 * time.Millisecond
+// quarantineStoreInterval is the interval between two checks for changed quarantines.
+// After a failure to store one, an entry waits for quarantineRetryDelay and up to as long
+// again: all entries may fail at the same time.
+const (
+	quarantineStoreInterval = 100 * time.Millisecond
+	quarantineRetryDelay    = time.Second
+)
 
 // storeQuarantines logs changes of the quarantines and writes those of this entry to the
 // store, so that entries know them after all have been restarted. After the store was
@@ -22,6 +27,7 @@
 	add := func(q fulmardeal.Quarantine) {
 		pending[q.Service+" "+strings.Join(q.Parts, ",")] = q
 	}
+	var retryAt time.Time
 	era := g.store.Era()
 	t := time.NewTicker(quarantineStoreInterval)
 	defer t.Stop()
@@ -43,9 +49,13 @@
 				add(q)
 			}
 		}
+		if time.Now().Before(retryAt) {
+			continue
+		}
 		for _, key := range slices.Sorted(maps.Keys(pending)) {
 			if err := g.store.PutQuarantine(ctx, pending[key]); err != nil {
 				g.log.Warn("cannot store a quarantine, will be retried", "parts", strings.Join(pending[key].Parts, ","), "err", err)
+				retryAt = time.Now().Add(quarantineRetryDelay + rand.N(quarantineRetryDelay))
 				break
 			}
 			delete(pending, key)
--- a/internal/traffic/quarantine/permit.go
+++ b/internal/traffic/quarantine/permit.go
@@ -67,6 +67,7 @@
 		}
 	}
 	t.release(now, p)
+	p.endTrials(now)
 }
 
 // Crashed records that the endpoint crashed before it had begun to answer.
@@ -97,9 +98,15 @@
 
 // Done ends the attempt. Further calls have no effect.
 func (p *Permit) Done(now time.Time) {
+	p.table.mu.Lock()
+	defer p.table.mu.Unlock()
+	p.endTrials(now)
+}
+
+// endTrials lets other requests with the same parts be tried. The caller must hold the
+// table's lock.
+func (p *Permit) endTrials(now time.Time) {
 	t := p.table
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	for key, x := range p.trials {
 		if t.trials[key] == x {
 			delete(t.trials, key)
