traffic/quarantine, proof/soak: plainer names for hashes

A crash's id is a hash of two strings, not the key of a part; callers of poisoned requests have the numbers of sound ones, whose parts they share.

--- a/internal/proof/soak/poison.go
+++ b/internal/proof/soak/poison.go
@@ -41,7 +41,7 @@
 	defer callers.Wait()
 	until := time.Now().Add(f.For)
 	for i := range poisonCallers {
-		c := newCaller(d, 1000*(1+f.Target)+10*int(f.At.Seconds())+i, uint64(f.At))
+		c := newCaller(d, i, uint64(f.At)) // with the number of a sound caller, whose parts its prompts share
 		c.poison, c.name = part, fmt.Sprintf("%s-%d", part, i)
 		callers.Go(func() {
 			defer c.client.CloseIdleConnections()
--- a/internal/traffic/quarantine/evidence.go
+++ b/internal/traffic/quarantine/evidence.go
@@ -17,7 +17,7 @@
 
 // crash is one request that an endpoint had not begun to answer when it crashed.
 type crash struct {
-	id      partKey // hash of the endpoint's id and the request's
+	id      uint64 // hash of the endpoint's id and the request's
 	parts   []partKey
 	weights int64 // version of the endpoint's weights
 	sent    time.Time
@@ -35,7 +35,7 @@
 // evidence holds crashes, and answers that have begun.
 type evidence struct {
 	crashes []*crash             // in the order of their time
-	byID    map[partKey]*crash   // the same, by id
+	byID    map[uint64]*crash    // the same, by id
 	expired time.Time            // when crashes were last removed
 	byPart  map[partKey][]*crash // the same, by part
 
@@ -45,7 +45,7 @@
 }
 
 func newEvidence() evidence {
-	return evidence{byID: make(map[partKey]*crash), byPart: make(map[partKey][]*crash), begun: make(map[partKey][]begin)}
+	return evidence{byID: make(map[uint64]*crash), byPart: make(map[partKey][]*crash), begun: make(map[partKey][]begin)}
 }
 
 // mentions reports whether a crash involves the part.
--- a/internal/traffic/quarantine/permit.go
+++ b/internal/traffic/quarantine/permit.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Permit allows one attempt at one endpoint.
 type Permit struct {
@@ -86,7 +90,7 @@
 		t.lossRate(p.service).record(true)
 	}
 	t.evidence.add(now, &crash{
-		id: keyOf(c.Endpoint, c.Attempt), parts: sample(p.parts, keyOf(c.Endpoint, "")), weights: p.weights,
+		id: hashPair(c.Endpoint, c.Attempt), parts: sample(p.parts, xxhash.Sum64String(c.Endpoint)), weights: p.weights,
 		sent: c.Sent, at: now, own: true,
 	})
 	t.changed = now
@@ -121,15 +125,15 @@
 // maxPartsPerCrash limits the parts of one crash that are kept and reported.
 const maxPartsPerCrash = 32
 
-// sample returns at most maxPartsPerCrash parts. Which ones depends on the endpoint, so
+// sample returns at most maxPartsPerCrash parts. Which ones depends on the endpoint's hash, so
 // that several crashes together cover all parts of a long prompt.
-func sample(parts []partKey, endpoint partKey) []partKey {
+func sample(parts []partKey, endpoint uint64) []partKey {
 	if len(parts) <= maxPartsPerCrash {
 		return parts
 	}
 	out := make([]partKey, maxPartsPerCrash)
 	for i := range out {
-		out[i] = parts[(uint64(endpoint)+uint64(i))%uint64(len(parts))]
+		out[i] = parts[(endpoint+uint64(i))%uint64(len(parts))]
 	}
 	return out
 }
--- a/internal/traffic/quarantine/report.go
+++ b/internal/traffic/quarantine/report.go
@@ -106,7 +106,7 @@
 		if now.Sub(c.at) > singleReportTime && !t.evidence.repeated(now, c) {
 			continue
 		}
-		x := ReportedCrash{ID: uint64(c.id), Weights: c.weights, SentAge: now.Sub(c.sent), Age: now.Sub(c.at)}
+		x := ReportedCrash{ID: c.id, Weights: c.weights, SentAge: now.Sub(c.sent), Age: now.Sub(c.at)}
 		for _, key := range c.parts {
 			x.Parts = append(x.Parts, uint64(key))
 			mentioned[key] = true
@@ -156,7 +156,7 @@
 		begun[x.Part] = true
 	}
 	for _, x := range r.Crashes {
-		c := &crash{id: partKey(x.ID), weights: x.Weights, sent: now.Add(-x.SentAge), at: now.Add(-x.Age)}
+		c := &crash{id: x.ID, weights: x.Weights, sent: now.Add(-x.SentAge), at: now.Add(-x.Age)}
 		for _, part := range x.Parts {
 			c.parts = append(c.parts, partKey(part))
 		}
--- a/internal/traffic/quarantine/table.go
+++ b/internal/traffic/quarantine/table.go
@@ -61,12 +61,14 @@
 // partKey identifies a part of the prompts of one service.
 type partKey uint64
 
-func keyOf(service, part string) partKey {
+func keyOf(service, part string) partKey { return partKey(hashPair(service, part)) }
+
+func hashPair(a, b string) uint64 {
 	var h xxhash.Digest
-	_, _ = h.WriteString(service) // a Digest never returns an error
+	_, _ = h.WriteString(a) // a Digest never returns an error
 	_, _ = h.WriteString("\x00")
-	_, _ = h.WriteString(part)
-	return partKey(h.Sum64())
+	_, _ = h.WriteString(b)
+	return h.Sum64()
 }
 
 func keysOf(service string, parts []string) []partKey {
@@ -231,11 +233,7 @@
 // rank returns the position of this entry in the order of the live entries that is valid
 // for the part. The entries need not agree on it: it only spreads their trials.
 func (t *Table) rank(now time.Time, key partKey) int {
-	score := func(entry string) uint64 {
-		var h xxhash.Digest
-		_, _ = h.WriteString(entry)
-		return h.Sum64() ^ uint64(key)
-	}
+	score := func(entry string) uint64 { return xxhash.Sum64String(entry) ^ uint64(key) }
 	own, rank := score(t.options.Entry), 0
 	for name, p := range t.peers {
 		if now.Sub(p.heard) <= peerTTL && score(name) < own {
--- a/internal/traffic/quarantine/verdict.go
+++ b/internal/traffic/quarantine/verdict.go
@@ -48,11 +48,11 @@
 
 func (s *verdicts) empty() bool { return len(s.byKey) == 0 }
 
-// setKey returns a hash of a set of parts.
+// setKey returns a hash of a set of parts, which doesn't depend on their order.
 func setKey(keys []partKey) partKey {
 	var out partKey
 	for _, key := range keys {
-		out += key * 0x9e3779b97f4a7c15
+		out += key
 	}
 	return out
 }
