traffic/quarantine: blame one part for the end of an endpoint, not all that met there

The parts f4 and f2, which a fifth of all prompts have, were quarantined beside dead-2, the poisoned one.

Cause: each request that an endpoint lost was evidence against its own parts. After all processes had been killed nobody knew which parts are sound; requests with f4 waited at three engines that dead-2 crashed, and were three crashes of f4. A crash has one cause, but was counted for every part that had met with it.

Change: crashes know their endpoint. A crash counts for a part only if no other part, at the same endpoint, has met with as many; crashes to which a verdict applies count for no other part, also not as suspicion. A verdict waits 150 ms for the evidence of the other requests, and requests with the part wait meanwhile.

--- a/internal/traffic/quarantine/evidence.go
+++ b/internal/traffic/quarantine/evidence.go
@@ -17,13 +17,14 @@
 
 // crash is one request that an endpoint had not begun to answer when it crashed.
 type crash struct {
-	id      uint64 // hash of the endpoint's id and the request's
-	parts   []partKey
-	weights int64 // version of the endpoint's weights
-	sent    time.Time
-	at      time.Time // of the crash
-	own     bool      // seen by this entry
-	cleared time.Time // when all parts had been cleared; zero before
+	id       uint64 // hash of the endpoint's id and the request's
+	endpoint uint64 // hash of the endpoint's id
+	parts    []partKey
+	weights  int64 // version of the endpoint's weights
+	sent     time.Time
+	at       time.Time // of the crash
+	own      bool      // seen by this entry
+	cleared  time.Time // when all parts had been cleared; zero before
 }
 
 // begin is the latest answer that began on a part.
@@ -38,6 +39,7 @@
 	byID    map[uint64]*crash    // the same, by id
 	expired time.Time            // when crashes were last removed
 	byPart  map[partKey][]*crash // the same, by part
+	byEnd   map[uint64][]*crash  // the same, by endpoint
 
 	// begun and begunBefore hold the latest begins of each part, one for each version
 	// of the weights. When begun is full, it becomes begunBefore.
@@ -45,7 +47,7 @@
 }
 
 func newEvidence() evidence {
-	return evidence{byID: make(map[uint64]*crash), byPart: make(map[partKey][]*crash), begun: make(map[partKey][]begin)}
+	return evidence{byID: make(map[uint64]*crash), byEnd: make(map[uint64][]*crash), byPart: make(map[partKey][]*crash), begun: make(map[partKey][]begin)}
 }
 
 // mentions reports whether a crash involves the part.
@@ -98,6 +100,7 @@
 		return false
 	}
 	e.byID[c.id] = c
+	e.byEnd[c.endpoint] = append(e.byEnd[c.endpoint], c)
 	if len(e.crashes) >= maxCrashes {
 		e.remove(e.crashes[0])
 	}
@@ -111,6 +114,9 @@
 
 func (e *evidence) remove(c *crash) {
 	delete(e.byID, c.id)
+	if e.byEnd[c.endpoint] = slices.DeleteFunc(e.byEnd[c.endpoint], func(o *crash) bool { return o == c }); len(e.byEnd[c.endpoint]) == 0 {
+		delete(e.byEnd, c.endpoint)
+	}
 	e.crashes = slices.DeleteFunc(e.crashes, func(o *crash) bool { return o == c })
 	for _, key := range c.parts {
 		if e.byPart[key] = slices.DeleteFunc(e.byPart[key], func(o *crash) bool { return o == c }); len(e.byPart[key]) == 0 {
@@ -174,6 +180,16 @@
 	return out
 }
 
+// common returns the parts that all crashes may have been caused by.
+func (e *evidence) common(crashes []*crash) []partKey {
+	out := slices.Clone(e.blames(crashes[0]))
+	for _, c := range crashes[1:] {
+		blames := e.blames(c)
+		out = slices.DeleteFunc(out, func(k partKey) bool { return !slices.Contains(blames, k) })
+	}
+	return out
+}
+
 // last returns the latest crash that involves the part, or nil if there is none.
 func (e *evidence) last(key partKey) *crash {
 	var out *crash
--- a/internal/traffic/quarantine/permit.go
+++ b/internal/traffic/quarantine/permit.go
@@ -89,15 +89,15 @@
 	if ordinary {
 		t.lossRate(p.service).record(true)
 	}
+	endpoint := xxhash.Sum64String(c.Endpoint)
 	t.evidence.add(now, &crash{
-		id: hashPair(c.Endpoint, c.Attempt), parts: sample(p.parts, xxhash.Sum64String(c.Endpoint)), weights: p.weights,
+		id: hashPair(c.Endpoint, c.Attempt), endpoint: endpoint, parts: sample(p.parts, endpoint), weights: p.weights,
 		sent: c.Sent, at: now, own: true,
 	})
 	t.changed = now
 	if p.probed != 0 {
 		t.verdicts.probeFailed(now, p.probed)
 	}
-	t.condemn(now, p)
 }
 
 // Done ends the attempt. Further calls have no effect.
--- a/internal/traffic/quarantine/quarantine_test.go
+++ b/internal/traffic/quarantine/quarantine_test.go
@@ -40,6 +40,7 @@
 	f.now = f.now.Add(100 * time.Millisecond)
 	p.Crashed(f.now, quarantine.Crash{Endpoint: fmt.Sprintf("e%d", f.n), Attempt: fmt.Sprintf("a%d", f.n), Sent: sent})
 	p.Done(f.now)
+	f.now = f.now.Add(200 * time.Millisecond) // until the evidence has settled
 }
 
 // begin sends a request whose answer begins.
@@ -155,6 +156,36 @@
 	f.want("", 1, "part")
 }
 
+// Requests that wait at an endpoint that another one crashes must not be blamed, although
+// nothing is known yet of their parts.
+func TestPartsBesidePoison(t *testing.T) {
+	f := newFixture(t)
+	for i := range 3 {
+		// All requests are sent before the first crash of the round is known.
+		var permits []*quarantine.Permit
+		for _, parts := range [][]string{{"shared"}, {fmt.Sprint("first", i), "poison"}} {
+			f.n++
+			p, err := f.Enter(f.now, "llm", append(parts, fmt.Sprintf("own%d", f.n)), 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			permits = append(permits, p)
+		}
+		sent := f.now
+		f.now = f.now.Add(100 * time.Millisecond)
+		for k, p := range permits {
+			p.Crashed(f.now, quarantine.Crash{Endpoint: fmt.Sprint("e", i), Attempt: fmt.Sprint(i, k), Sent: sent})
+			p.Done(f.now)
+		}
+	}
+	f.now = f.now.Add(time.Second)
+	f.want("", 1, "shared") // either may be the cause
+	f.crash(1, "another", "poison")
+	f.now = f.now.Add(time.Second)
+	f.want(quarantine.ReasonQuarantined, 1, "another", "poison")
+	f.want("", 1, "shared")
+}
+
 // A request on its way must be withdrawn when its part is quarantined, unless its answer has
 // begun or it is a probe.
 func TestRequestsOnTheirWay(t *testing.T) {
--- a/internal/traffic/quarantine/report.go
+++ b/internal/traffic/quarantine/report.go
@@ -42,11 +42,12 @@
 
 // ReportedCrash is a request that an endpoint had not begun to answer when it crashed.
 type ReportedCrash struct {
-	ID      uint64 // hash of the endpoint's id and the request's
-	Parts   []uint64
-	Weights int64
-	SentAge time.Duration // since the request was sent
-	Age     time.Duration // since the crash
+	ID       uint64 // hash of the endpoint's id and the request's
+	Endpoint uint64 // hash of the endpoint's id
+	Parts    []uint64
+	Weights  int64
+	SentAge  time.Duration // since the request was sent
+	Age      time.Duration // since the crash
 }
 
 // ReportedBegin is the latest answer that began on a part.
@@ -106,7 +107,7 @@
 		if now.Sub(c.at) > singleReportTime && !t.evidence.repeated(now, c) {
 			continue
 		}
-		x := ReportedCrash{ID: c.id, Weights: c.weights, SentAge: now.Sub(c.sent), Age: now.Sub(c.at)}
+		x := ReportedCrash{ID: c.id, Endpoint: c.endpoint, Weights: c.weights, SentAge: now.Sub(c.sent), Age: now.Sub(c.at)}
 		for _, key := range c.parts {
 			x.Parts = append(x.Parts, uint64(key))
 			mentioned[key] = true
@@ -156,7 +157,7 @@
 		begun[x.Part] = true
 	}
 	for _, x := range r.Crashes {
-		c := &crash{id: x.ID, weights: x.Weights, sent: now.Add(-x.SentAge), at: now.Add(-x.Age)}
+		c := &crash{id: x.ID, endpoint: x.Endpoint, weights: x.Weights, sent: now.Add(-x.SentAge), at: now.Add(-x.Age)}
 		for _, part := range x.Parts {
 			c.parts = append(c.parts, partKey(part))
 		}
--- a/internal/traffic/quarantine/table.go
+++ b/internal/traffic/quarantine/table.go
@@ -27,6 +27,10 @@
 	// entry that saw the crash. It covers a trial and its report.
 	trialDelay = 300 * time.Millisecond
 
+	// settleTime is how long after a crash all entries report the requests that they lost
+	// there. Which of them caused it can't be judged before.
+	settleTime = 150 * time.Millisecond
+
 	// maxTrialDelay limits the wait of the entries that come last.
 	maxTrialDelay = 3 * time.Second
 
@@ -191,7 +195,7 @@
 func (t *Table) suspects(now time.Time, parts []partKey) []partKey {
 	var out []partKey
 	for _, key := range parts {
-		blamed := t.evidence.blamed(now, key)
+		blamed := t.blamed(now, key)
 		if len(blamed) == 0 {
 			continue
 		}
@@ -210,7 +214,13 @@
 		return false
 	}
 	last := t.evidence.last(key)
-	if last == nil || last.own {
+	if last == nil {
+		return true
+	}
+	if now.Sub(last.at) < settleTime && successive(t.blamed(now, key)) >= minCrashes {
+		return false // a verdict may be due
+	}
+	if last.own {
 		return true
 	}
 	delay := min(trialDelay*time.Duration(1+t.rank(now, key)), maxTrialDelay)
--- a/internal/traffic/quarantine/verdict.go
+++ b/internal/traffic/quarantine/verdict.go
@@ -139,24 +139,25 @@
 // returns the verdict, or nil. The caller must hold t.mu.
 func (t *Table) condemn(now time.Time, p *Permit) *verdict {
 	for _, key := range p.parts {
-		blamed := t.evidence.blamed(now, key)
-		if len(blamed) == 0 || successive(blamed) < t.lossRate(p.service).crashesNeeded() {
+		needed := t.lossRate(p.service).crashesNeeded()
+		blamed := t.blamed(now, key)
+		blamed = slices.DeleteFunc(blamed, func(c *crash) bool { return now.Sub(c.at) < settleTime })
+		if len(blamed) == 0 || successive(blamed) < needed {
 			continue
 		}
 		// Requests may have several parts on which no answer has ever begun: only what
 		// all of them have in common is to blame.
-		common := slices.Clone(t.evidence.blames(blamed[0]))
+		common := t.evidence.common(blamed)
+		blamed = t.unexplained(now, key, blamed, common)
+		if successive(blamed) < needed || !containsAll(p.parts, common) {
+			continue
+		}
 		var weights []int64
 		for _, c := range blamed {
-			blames := t.evidence.blames(c)
-			common = slices.DeleteFunc(common, func(k partKey) bool { return !slices.Contains(blames, k) })
 			if !slices.Contains(weights, c.weights) {
 				weights = append(weights, c.weights)
 			}
 		}
-		if !containsAll(p.parts, common) {
-			continue
-		}
 		if v := t.pass(now, p, common, weights, len(blamed)); !t.evidence.soundWith(v, p.weights) {
 			return v
 		}
@@ -164,6 +165,37 @@
 	return nil
 }
 
+// blamed returns the crashes that the part may have caused, without those of endpoints that
+// were running a request to which a verdict applies.
+func (t *Table) blamed(now time.Time, key partKey) []*crash {
+	return slices.DeleteFunc(t.evidence.blamed(now, key), func(c *crash) bool {
+		return slices.ContainsFunc(t.evidence.byEnd[c.endpoint], func(o *crash) bool { return t.verdicts.match(o.parts) != nil })
+	})
+}
+
+// unexplained returns the crashes that no other part explains as well. An endpoint that
+// crashes takes all its requests along, but one of them has caused it: a part that met with
+// at least as many crashes, on the same endpoint, is the more likely cause. Parts in common
+// are those that all requests with the part have.
+func (t *Table) unexplained(now time.Time, key partKey, blamed []*crash, common []partKey) []*crash {
+	count := successive(blamed)
+	stronger := make(map[partKey]bool)
+	for _, c := range blamed {
+		for _, o := range t.evidence.byEnd[c.endpoint] {
+			for _, other := range t.evidence.blames(o) {
+				if _, known := stronger[other]; !known && !slices.Contains(common, other) {
+					stronger[other] = successive(t.blamed(now, other)) >= count
+				}
+			}
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(blamed), func(c *crash) bool {
+		return slices.ContainsFunc(t.evidence.byEnd[c.endpoint], func(o *crash) bool {
+			return slices.ContainsFunc(t.evidence.blames(o), func(other partKey) bool { return stronger[other] })
+		})
+	})
+}
+
 // pass passes a verdict on parts of a request, unless there is one.
 func (t *Table) pass(now time.Time, p *Permit, keys []partKey, weights []int64, crashes int) *verdict {
 	v := t.verdicts.byKey[setKey(keys)]
--- a/internal/traffic/sharing/quarantine.go
+++ b/internal/traffic/sharing/quarantine.go
@@ -54,6 +54,7 @@
 	}
 	for _, x := range r.Crashes {
 		b := binary.BigEndian.AppendUint64([]byte{tagCrash}, x.ID)
+		b = binary.BigEndian.AppendUint64(b, x.Endpoint)
 		b = binary.AppendUvarint(b, uint64(len(x.Parts)))
 		for _, part := range x.Parts {
 			b = binary.BigEndian.AppendUint64(b, part)
@@ -140,7 +141,7 @@
 }
 
 func (r *decoder) crash() quarantine.ReportedCrash {
-	x := quarantine.ReportedCrash{ID: r.hash()}
+	x := quarantine.ReportedCrash{ID: r.hash(), Endpoint: r.hash()}
 	for range r.listLength() {
 		if r.err != nil {
 			break
