process/gateway: log how late a version is learned and from which weights answers come

Whether an entry learned of a version late, whether it took an engine for one with other weights, and how old the choice of the engine was could not be told apart from the log. "in force" has the time since the read of the store before, "served" the time for which the engine's weights could still be used when the request was sent, and an answer from other weights than expected has a line of its own. No decision changes.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -110,6 +110,9 @@
 	defer x.Close()
 	r := g.codec.ReadResponseMetadata(x.Status(), x.Header())
 	a.applyNotice(r)
+	if believed := a.reservation.Weights(); r.WeightsVersion != 0 && r.WeightsVersion != believed {
+		c.log.Warn("answer from other weights than expected", "endpoint", e.ID(), "status", x.Status(), "weights", r.WeightsVersion, "expected", believed, "took", time.Since(sent))
+	}
 	if r.AttemptID != "" && r.AttemptID != c.metadata.AttemptID {
 		c.log.Warn("response has the id of another attempt", "endpoint", e.ID(), "got", r.AttemptID, "reused", x.Reused())
 		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
@@ -229,6 +232,15 @@
 	return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 }
 
+// startTimeLeft returns how long the endpoint's weights could still be used when the
+// request was sent, less a margin, or 0 if they are not superseded.
+func (a *attempt) startTimeLeft() time.Duration {
+	if by := a.reservation.StartBy(); !by.IsZero() {
+		return by.Sub(a.sent)
+	}
+	return 0
+}
+
 // answering reports whether the endpoint is well into its answer: it has gone on after the
 // first event.
 func (a *attempt) answering() bool { return a.events > 1 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -287,7 +287,7 @@
 	now := time.Now()
 	events := g.catalogue.Apply(now, b)
 	for _, e := range events {
-		g.log.Info("in force", "what", e.Kind, "name", e.Name, "version", e.Version)
+		g.log.Info("in force", "what", e.Kind, "name", e.Name, "version", e.Version, "silence", b.SinceLastRead, "full", b.Full)
 	}
 	if len(events) > 0 {
 		g.configured.Store(&now)
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -270,7 +270,7 @@
 	}
 	c.gateway.stats.served(c.service, time.Since(c.received))
 	c.log.Info("served", "endpoint", reservation.Endpoint().ID(), "first", c.progress.firstEvent, "pause", c.progress.longestPause, "events", c.progress.events,
-		"expected", reservation.ExpectedFirstEvent(), "waited", c.queueTime, "prompt", c.metadata.PromptTokens, "sends", c.sends, "weights", u.weights)
+		"expected", reservation.ExpectedFirstEvent(), "waited", c.queueTime, "prompt", c.metadata.PromptTokens, "sends", c.sends, "weights", u.weights, "left", u.attempt.startTimeLeft())
 }
 
 func (c *call) dispatchRequest() *dispatch.Request {
