fleet/feed, fleet/catalogue: count the time of old weights from the publication

Callers got answers of version 1 of the weights more than 8 s after version 2 was acknowledged. An entry counted the time from when it learned of the version. A call that waits for changes on a connection that has gone silent ends after 2.4 s, and a process that was frozen finds the record when it wakes; nothing excuses the entry 3 s after that.

A batch now bounds the age of its changes. What the read before did not have was written after it; what the store or a relay was waiting for was written when it came, unless the process stood still, which a pulse of 20 ms tells. A relay passes on the bound that it knows. The bound errs only towards older versions, so an entry stops using old weights too early rather than too late. A version that was there before the first read counts from the start of the process, not from a read that may have come late. Time in which the instance is suspended, which the clock of package time doesn't count, makes versions older.

--- a/internal/fleet/catalogue/table.go
+++ b/internal/fleet/catalogue/table.go
@@ -21,9 +21,9 @@
 type PublishedVersion struct {
 	Version int64
 
-	// Since is when this process learned of the version, or an assumed time if the
-	// version was published before the process first read the store; see
-	// assumedVersionAge.
+	// Since is the earliest time at which the version may have been published. It is
+	// an assumed time if the version was there when the process first read the store;
+	// see assumedVersionAge.
 	Since time.Time
 }
 
@@ -40,10 +40,47 @@
 // safe for concurrent use.
 type Table struct {
 	mu      sync.Mutex
+	started time.Time                      // zero if unknown
 	offsets map[string]fulmardeal.Position // by key of a change, the offset of the last change applied to that key
 	view    atomic.Pointer[View]
 }
 
+// SetStarted sets when the process started. Without it, the process counts as started
+// when it first reads the store.
+func (t *Table) SetStarted(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.started = at
+}
+
+// startedBy returns when the process started, or now if that is unknown. The caller must
+// hold t.mu.
+func (t *Table) startedBy(now time.Time) time.Time {
+	if t.started.IsZero() {
+		return now
+	}
+	return t.started
+}
+
+// AddSuspended makes all published versions older by d. The times at which they were
+// published are readings of a clock that doesn't advance while the instance is suspended.
+func (t *Table) AddSuspended(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.started.IsZero() {
+		t.started = t.started.Add(-d)
+	}
+	next := *t.View()
+	published := make(map[string][]PublishedVersion, len(next.published))
+	for model, versions := range next.published {
+		for _, p := range versions {
+			published[model] = append(published[model], PublishedVersion{Version: p.Version, Since: p.Since.Add(-d)})
+		}
+	}
+	next.published = published
+	t.view.Store(&next)
+}
+
 // View returns the current state. It is never nil.
 func (t *Table) View() *View {
 	if v := t.view.Load(); v != nil {
@@ -77,9 +114,9 @@
 		next.published[model] = versions
 	}
 	var events []Event
-	since := now
+	since := now.Add(-b.MaxAge)
 	if old.catalogue == nil && b.Full {
-		since = now.Add(-assumedVersionAge)
+		since = t.startedBy(now).Add(-assumedVersionAge)
 	}
 	for _, c := range b.Changes {
 		if known, seen := t.offsets[c.Key]; seen && c.Offset <= known {
@@ -260,11 +297,11 @@
 // must get no requests.
 func (v *View) IsOutOfService(name string) bool { return slices.Contains(v.outOfService, name) }
 
-// assumedVersionAge is how long ago a version is taken to have been published if it
-// is already there at this process's first read, because its real publication time
-// is unknown. If the real age is lower, this process stops using engines with the
-// previous version too early. If the real age is higher, this process uses them for
-// too long, but only in its first seconds, when no one relies on its state yet.
+// assumedVersionAge is how long before the start of this process a version is taken to
+// have been published if it is already there at the first read, because its real
+// publication time is unknown. If the real age is lower, this process stops using engines
+// with the previous version too early. If the real age is higher, this process uses them
+// for too long, but only in its first seconds, when no one relies on its state yet.
 const assumedVersionAge = 5 * time.Second
 
 // maxVersionsPerModel is the maximum number of published versions kept per model,
--- a/internal/fleet/catalogue/table_test.go
+++ b/internal/fleet/catalogue/table_test.go
@@ -46,6 +46,13 @@
 		apply(fulmardeal.Change{Key: "config", Offset: fulmardeal.Position(number(1)), Catalogue: c})
 	case "named": // OFFSET MODEL VERSION
 		apply(fulmardeal.Change{Key: "version/" + words[2], Offset: fulmardeal.Position(number(1)), Naming: &fulmardeal.Publication{Model: words[2], Version: number(3)}})
+	case "late": // OFFSET MODEL VERSION AGE, published up to AGE seconds ago
+		c := fulmardeal.Change{Key: "version/" + words[2], Offset: fulmardeal.Position(number(1)), Naming: &fulmardeal.Publication{Model: words[2], Version: number(3)}}
+		table.Apply(*now, feed.Batch{Changes: []fulmardeal.Change{c}, MaxAge: time.Duration(number(4)) * time.Second})
+	case "start": // the process starts
+		table.SetStarted(*now)
+	case "suspended": // SECONDS
+		table.AddSuspended(time.Duration(number(1)) * time.Second)
 	case "found": // MODEL VERSION, published before the first full read
 		c := fulmardeal.Change{Key: "version/" + words[1], Naming: &fulmardeal.Publication{Model: words[1], Version: number(2)}}
 		table.Apply(*now, feed.Batch{Changes: []fulmardeal.Change{c}, Full: true})
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -33,6 +33,10 @@
 	Full          bool                // the batch lists every key; keys that it doesn't list have been deleted
 	Restored      bool                // the batch is the first one of an era: the store may lack what was already read
 	SinceLastRead time.Duration       // time since the previous successful read
+
+	// MaxAge is an upper bound on the time since the changes were written. It means
+	// nothing for the first read, whose changes may be of any age.
+	MaxAge time.Duration
 }
 
 // Options configures a Follower.
@@ -54,6 +58,15 @@
 	// was sent. A nil Lag means 0.
 	Lag func() time.Duration
 
+	// RelayAge returns an upper bound on the time that had passed since the changes in
+	// the last response were written, when a relay sent it; 0 if a relay didn't send it
+	// or didn't know. A nil RelayAge means 0.
+	RelayAge func() time.Duration
+
+	// Pulse tells whether the process stood still. It beats by Clock. If it is nil, the
+	// process may have stood still during any call.
+	Pulse *Pulse
+
 	// Hold is how long what a restored store lacks is still taken to be valid. A
 	// full read after that time decides.
 	Hold time.Duration
@@ -174,7 +187,7 @@
 	if f.options.Lag != nil {
 		asOf -= f.options.Lag()
 	}
-	batch := Batch{Changes: changes, Next: after, Full: full, Restored: full && f.known() && after.Era() > next.Era()}
+	batch := Batch{Changes: changes, Next: after, Full: full, Restored: full && f.known() && after.Era() > next.Era(), MaxAge: f.maxAge(callStart, changes, full)}
 	batch.SinceLastRead = f.recordSuccess(asOf)
 	f.scheduleConfirmation(batch)
 	for _, c := range changes {
@@ -186,6 +199,21 @@
 	return after, false, nil
 }
 
+// maxAge returns an upper bound on the time since the changes of the read that has just
+// ended were written.
+func (f *Follower) maxAge(callStart time.Duration, changes []fulmardeal.Change, full bool) time.Duration {
+	now, relayAge, runningSince := f.options.Clock(), time.Duration(0), time.Duration(0)
+	if f.options.RelayAge != nil && !full {
+		relayAge = f.options.RelayAge()
+	}
+	if f.options.Pulse != nil {
+		runningSince = f.options.Pulse.RunningSince(now)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return changeAge(f.lastKnown, callStart, runningSince, now, !full && len(changes) > 0 && changes[0].Awaited, relayAge)
+}
+
 // scheduleConfirmation schedules the full read that decides about state which a
 // restored store lacks. Until then that state is taken to be valid, because operators
 // and endpoints write again what the store has lost.
--- a/internal/fleet/feed/follower_test.go
+++ b/internal/fleet/feed/follower_test.go
@@ -204,3 +204,22 @@
 		}
 	})
 }
+
+// A call on a connection that has gone silent hides a change until it times out. The
+// batch tells for how long that may have been.
+func TestSilentCallHidesChange(t *testing.T) {
+	follow(t, 1500*time.Millisecond, func(s *fakeStore, _ *Follower, seen func() (fulmardeal.Position, Batch)) {
+		time.Sleep(3 * time.Second)
+		s.set(func(s *fakeStore) { s.hanging = true })
+		time.Sleep(10 * time.Millisecond)
+		written := time.Now()
+		s.set(func(s *fakeStore) { s.end = 8 })
+		time.Sleep(2 * time.Second)
+		s.set(func(s *fakeStore) { s.hanging = false })
+		time.Sleep(2 * time.Second)
+		got, batch := seen()
+		if hidden := time.Since(written) - 2*time.Second; got != 7 || batch.MaxAge < hidden {
+			t.Errorf("offset %d, at most %v old; want offset 7, written at least %v ago", got, batch.MaxAge, hidden)
+		}
+	})
+}
--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -52,6 +52,16 @@
 	Change fulmardeal.Change
 
 	Fault string // text of the change's Fault, empty when there is none
+
+	// Age is an upper bound on the time since the change was written, as of the
+	// response; 0 if unknown.
+	Age time.Duration
+}
+
+// cachedChange is a change in a relay's copy of a feed.
+type cachedChange struct {
+	WireChange
+	writtenAfter time.Duration // Uptime after which the change was written
 }
 
 // ReadRequest is a read request to a relay: for the full state of a feed, or for
@@ -94,13 +104,13 @@
 // cachedFeed is a relay's copy of one feed.
 type cachedFeed struct {
 	age     func() (time.Duration, bool)
-	current map[string]WireChange // the newest change of each key that is not deleted, by key
-	recent  []WireChange          // the most recent changes, in order of offset
-	first   fulmardeal.Position   // offset from which recent is complete
-	next    fulmardeal.Position   // offset after that of the last change
-	removed map[string]removal    // the last change of each key that was deleted recently, by key
-	held    bool                  // current contains state that a restored store lacks
-	changed chan struct{}         // closed and replaced when changes are added, which wakes the readers that wait
+	current map[string]cachedChange // the newest change of each key that is not deleted, by key
+	recent  []cachedChange          // the most recent changes, in order of offset
+	first   fulmardeal.Position     // offset from which recent is complete
+	next    fulmardeal.Position     // offset after that of the last change
+	removed map[string]removal      // the last change of each key that was deleted recently, by key
+	held    bool                    // current contains state that a restored store lacks
+	changed chan struct{}           // closed and replaced when changes are added, which wakes the readers that wait
 }
 
 // Add registers a feed, which is empty until the first Put. The function age returns
@@ -111,7 +121,7 @@
 	if r.feeds == nil {
 		r.feeds = make(map[string]*cachedFeed)
 	}
-	r.feeds[name] = &cachedFeed{age: age, current: make(map[string]WireChange), removed: make(map[string]removal), changed: make(chan struct{})}
+	r.feeds[name] = &cachedFeed{age: age, current: make(map[string]cachedChange), removed: make(map[string]removal), changed: make(chan struct{})}
 }
 
 // Put applies a batch that was read from the store to the copy of a feed. It returns
@@ -121,16 +131,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f := r.feeds[name]
-	now := time.Now()
+	now, writtenAfter := time.Now(), Uptime()-b.MaxAge
 	if b.Full {
 		b.Changes, f.held = f.reconcile(now, b)
 	}
 	f.recordRemovals(now, b)
 	if b.Full {
-		f.current, f.recent, f.first = make(map[string]WireChange), nil, b.Next
+		f.current, f.recent, f.first = make(map[string]cachedChange), nil, b.Next
 	}
 	for _, c := range b.Changes {
-		w := toWire(c)
+		w := cachedChange{WireChange: toWire(c), writtenAfter: writtenAfter}
 		if c.Gone || c.Fault != nil {
 			delete(f.current, c.Key)
 		} else {
@@ -142,7 +152,7 @@
 	}
 	if over := len(f.recent) - maxRecentChanges; over > 0 {
 		f.first = f.recent[over-1].Change.Offset + 1
-		f.recent = append([]WireChange(nil), f.recent[over:]...)
+		f.recent = append([]cachedChange(nil), f.recent[over:]...)
 	}
 	f.next = b.Next
 	if len(b.Changes) > 0 || b.Full {
@@ -154,6 +164,7 @@
 
 func toWire(c fulmardeal.Change) WireChange {
 	w := WireChange{Change: c}
+	w.Change.Awaited = false // by this process, not by the reader of the relay
 	if c.Fault != nil {
 		w.Change.Fault, w.Fault = nil, c.Fault.Error()
 	}
@@ -204,12 +215,14 @@
 	switch {
 	case req.Whole:
 		for _, w := range f.current {
-			resp.Items = append(resp.Items, w)
+			resp.Items = append(resp.Items, w.WireChange)
 		}
 	case !resp.Trimmed:
+		uptime := Uptime()
 		for _, w := range f.recent {
 			if w.Change.Offset >= req.From {
-				resp.Items = append(resp.Items, w)
+				w.Age = max(1, uptime-w.writtenAfter)
+				resp.Items = append(resp.Items, w.WireChange)
 			}
 		}
 	}
@@ -235,6 +248,7 @@
 	relayed      bool          // the last response came from a relay
 	lag          time.Duration // age of the state in the last response; see Lag
 	held         bool          // see Provisional
+	age          time.Duration // see Age
 }
 
 // Newest returns the full state of the feed.
@@ -292,7 +306,7 @@
 	if len(relays) > 0 {
 		f.Log.Warn("no relay answered; reading from the store", "asked", min(len(relays), maxRelayAttempts), "err", failures)
 	}
-	f.setSource(false, 0, false)
+	f.setSource(false, 0, false, 0)
 	return nil, 0, nil, false
 }
 
@@ -332,13 +346,33 @@
 	return f.held
 }
 
-func (f *RelayClient) setSource(relayed bool, lag time.Duration, held bool) {
+// Age returns an upper bound on the time that had passed since the changes in the last
+// response were written, when a relay sent it; 0 if a relay didn't send it or didn't know.
+func (f *RelayClient) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.age
+}
+
+// maxAge returns the highest age of changes, or 0 if one is unknown.
+func maxAge(items []WireChange) time.Duration {
+	highest := time.Duration(0)
+	for _, w := range items {
+		if w.Age == 0 {
+			return 0
+		}
+		highest = max(highest, w.Age)
+	}
+	return highest
+}
+
+func (f *RelayClient) setSource(relayed bool, lag time.Duration, held bool, age time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if relayed != f.relayed {
 		f.Log.Info("feed source changed", "feed", f.Name, "relayed", relayed)
 	}
-	f.relayed, f.lag, f.held = relayed, lag, held
+	f.relayed, f.lag, f.held, f.age = relayed, lag, held, age
 	f.everRelayed = f.everRelayed || relayed
 }
 
@@ -349,7 +383,7 @@
 	if err := f.Call(ctx, address, RelayName+".Read", req, &resp); err != nil {
 		return nil, 0, err
 	}
-	f.setSource(true, resp.Age, req.Whole && resp.Held)
+	f.setSource(true, resp.Age, req.Whole && resp.Held, maxAge(resp.Items))
 	if resp.Trimmed {
 		return nil, 0, &fulmardeal.TrimmedError{Stream: RelayName, First: fulmardeal.Offset(resp.Next.Offset())}
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -139,6 +139,7 @@
 	table          *dispatch.Table
 	pool           *forward.Pool
 	mesh           *sharing.Mesh
+	pulse          feed.Pulse
 	operator       *feed.Follower
 	registrations  *feed.Follower
 	relay          feed.Relay         // serves the feeds to other entries
@@ -184,6 +185,7 @@
 	g.table = dispatch.New(dispatch.Options{
 		DataCentre: o.Settings.DataCentre, Region: o.Settings.Region, Regions: o.Settings.Regions, Bounds: o.Settings.Bounds, Seed: o.Seed,
 	})
+	g.catalogue.SetStarted(time.Now())
 	g.quarantine = quarantine.New(quarantine.Options{Entry: o.Settings.Name, Seed: o.Seed})
 	pool, closePool := forward.NewPool(maxBufferedBytes(o.Settings.MemoryLimit))
 	g.pool = pool
@@ -236,7 +238,7 @@
 func (g *Gateway) newFollower(clients *connection.Pool, o feed.Options) *feed.Follower {
 	r := &feed.RelayClient{Name: o.Name, Store: o.Feed, Relays: g.relayAddresses, Log: g.log, Call: clients.Call}
 	apply := o.Apply
-	o.Feed, o.Pause, o.Lag, o.Provisional, o.Log = r, r.Pause, r.Lag, r.Provisional, g.log
+	o.Feed, o.Pause, o.Lag, o.RelayAge, o.Pulse, o.Provisional, o.Log = r, r.Pause, r.Lag, r.Age, &g.pulse, r.Provisional, g.log
 	o.Apply = func(b feed.Batch) { apply(g.relay.Put(o.Name, b)) }
 	f := feed.New(o)
 	g.relay.Add(o.Name, f.Age)
@@ -287,7 +289,7 @@
 	now := time.Now()
 	events := g.catalogue.Apply(now, b)
 	for _, e := range events {
-		g.log.Info("in force", "what", e.Kind, "name", e.Name, "version", e.Version, "silence", b.SinceLastRead, "full", b.Full)
+		g.log.Info("in force", "what", e.Kind, "name", e.Name, "version", e.Version, "age", b.MaxAge, "full", b.Full)
 	}
 	if len(events) > 0 {
 		g.configured.Store(&now)
@@ -402,13 +404,20 @@
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	var lastGauges time.Time
+	var suspension feed.Suspension
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		now := time.Now()
+		now, uptime := time.Now(), feed.Uptime()
+		g.pulse.Beat(uptime)
+		if d := suspension.Elapsed(now, uptime); d > 0 {
+			g.log.Warn("instance was suspended", "for", d)
+			g.catalogue.AddSuspended(d)
+			g.table.Refresh(now, g.roster.List(), g.catalogue.View())
+		}
 		if now.Sub(lastGauges) >= reportInterval {
 			lastGauges = now
 			g.updateGauges()
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,6 +30,7 @@
 	records      map[string][]fulmardeal.Change // by topic
 	followed     map[string]int                 // by topic: number of records that have been applied
 	puts         int                            // calls of PutQuarantine
+	silenced     int                            // how often the calls in progress went silent
 	failPuts     int                            // how many of these fail
 }
 
@@ -50,6 +52,25 @@
 	m.records[topic] = append(m.records[topic], c)
 }
 
+// silenceCalls makes the calls in progress hang until they time out. Later calls work.
+func (m *memStore) silenceCalls() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.silenced++
+}
+
+// callTimeout is the timeout of a call, in addition to the time for which it waits.
+const callTimeout = 900 * time.Millisecond
+
+// timeOut waits until a call that has gone silent times out.
+func timeOut(ctx context.Context, at time.Time) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(at)):
+	}
+	return context.DeadlineExceeded
+}
+
 func (m *memStore) stopResponding() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -67,14 +88,19 @@
 }
 
 func (f topicFeed) Since(ctx context.Context, from fulmardeal.Position, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Position, error) {
-	until := time.Now().Add(wait)
+	start := time.Now()
+	until := start.Add(wait)
 	f.store.mu.Lock()
 	f.store.followed[f.name] = int(from) // a reader asks for these records when it has applied those before
+	silenced := f.store.silenced
 	f.store.mu.Unlock()
 	for {
 		f.store.mu.Lock()
-		unresponsive, all := f.store.unresponsive, f.store.records[f.name]
+		unresponsive, all, silent := f.store.unresponsive, f.store.records[f.name], f.store.silenced != silenced
 		f.store.mu.Unlock()
+		if silent {
+			return nil, 0, timeOut(ctx, until.Add(callTimeout))
+		}
 		if unresponsive {
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
@@ -83,7 +109,11 @@
 			return nil, 0, ctx.Err()
 		}
 		if len(all) > int(from) || time.Now().After(until) {
-			return all[min(int(from), len(all)):], fulmardeal.Position(len(all)), nil
+			changes := slices.Clone(all[min(int(from), len(all)):])
+			for i := range changes {
+				changes[i].Awaited = time.Since(start) > 100*time.Millisecond
+			}
+			return changes, fulmardeal.Position(len(all)), nil
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/pool.go
+++ b/pool.go
@@ -242,6 +242,10 @@
 	DataCentre   string // data centre of the entry at Address
 	Quarantine   *Quarantine
 	Fault        error // reason why the record can't be decoded; such a record has no effect
+
+	// Awaited tells that the store had no such record when it got the call that read it,
+	// and sent the record as soon as it was written.
+	Awaited bool
 }
 
 // Feed is a stream of keyed records, in which a record supersedes all earlier
