traffic/dispatch: have engines refuse requests for weights that they don't hold

Callers could get answers of weights that may not be used any longer from an engine that the entry takes for one with newer weights: it was started again under its id, took the old weights again, or its last status was lost. Only a resumed stream said which version must serve it.

Once the first version may not be used any longer, each request names the version that the engine is taken to hold, and an engine with another one refuses it without running it. Before that, any version will do, and none is named: engines that change over refuse no more than they did. The version in an engine's answer corrects what the entry believes, unless something else has become known since the slot was reserved.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -112,6 +112,7 @@
 	a.applyNotice(r)
 	if believed := a.reservation.Weights(); r.WeightsVersion != 0 && r.WeightsVersion != believed {
 		c.log.Warn("answer from other weights than expected", "endpoint", e.ID(), "status", x.Status(), "weights", r.WeightsVersion, "expected", believed, "took", time.Since(sent))
+		a.reservation.RecordWeights(r.WeightsVersion)
 	}
 	if r.AttemptID != "" && r.AttemptID != c.metadata.AttemptID {
 		c.log.Warn("response has the id of another attempt", "endpoint", e.ID(), "got", r.AttemptID, "reused", x.Reused())
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -132,10 +132,11 @@
 		Deadline:       time.Until(c.deadline),
 		Customer:       c.customer,
 		Priority:       -1,
-		WeightsVersion: c.progress.weights,
+		WeightsVersion: reservation.RequiredWeights(time.Now()),
 		LastEventID:    c.progress.resumeAfter(c.metadata.LastEventID),
 	}
 	if c.progress.started {
+		forwarded.WeightsVersion = c.progress.weights
 		forwarded.Priority = 0 // most urgent: its caller is waiting in the middle of a response
 	}
 	request := c.request
--- a/internal/traffic/dispatch/reservation.go
+++ b/internal/traffic/dispatch/reservation.go
@@ -40,6 +40,37 @@
 // ExpectedFirstEvent returns the predicted time to the first event.
 func (r *Reservation) ExpectedFirstEvent() time.Duration { return r.expected }
 
+// RequiredWeights returns the version of the weights that the endpoint must hold when it
+// runs the request, or 0 if that is not to be checked. What an entry knows of an engine
+// may be out of date, and only the engine itself can tell when it starts a request.
+func (r *Reservation) RequiredWeights(now time.Time) int64 {
+	t := r.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := r.endpoint.engine()
+	if s == nil || len(s.Models) == 0 || r.weights <= firstVersion {
+		return 0
+	}
+	end, superseded := t.weightsEnd(s.Models[0].Name, firstVersion)
+	if !superseded || now.Before(end.Add(-supersededMargin)) {
+		return 0 // the engine may serve the request with any version that there is
+	}
+	return r.weights
+}
+
+// firstVersion is the lowest version of a model's weights.
+const firstVersion = 1
+
+// RecordWeights records that the endpoint has answered with other weights than it was
+// known to hold, unless something else has become known since the slot was reserved.
+func (r *Reservation) RecordWeights(weights int64) {
+	r.table.mu.Lock()
+	defer r.table.mu.Unlock()
+	if e := r.endpoint; e.engine() != nil && e.weights == r.weights {
+		e.weights, e.statusAt = weights, time.Now()
+	}
+}
+
 // StartBy returns the time by which the request must have started at the endpoint,
 // because the endpoint's weights must not be used any more afterwards. It returns
 // the zero time if there is no such limit. Designed for engines that are still busy
