traffic/forward, process/gateway: check the weights again when a request is sent

The engine of a request is selected when its slot is reserved. Until the request is sent, a wait in the queue may be followed by a change of the engine's weights and by up to 0.5 s for a connection, or the process may stand still. The weights were checked again only each 100 ms after that, when the request had reached the engine.

The check is now also made when the connection is there, before the first byte. A request that fails it has not been sent: the connection is kept, nothing counts against the endpoint, and another one may be tried.

TestRequestIsCheckedWhenConnected.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"runtime/debug"
@@ -214,6 +215,11 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return update{result: maybeRun, outcome: dispatch.OutcomeCancelled}
 	}
+	var withheld *forward.WithheldError
+	if errors.As(err, &withheld) {
+		c.log.Info("request withheld from the endpoint", "endpoint", e.ID(), "weights", a.reservation.Weights(), "err", withheld.Cause)
+		return update{result: notRun, outcome: dispatch.OutcomeCancelled}
+	}
 	var unsent *fulmardeal.UnsentError
 	isUnsent := errors.As(err, &unsent)
 	crashed := !isUnsent && !a.answering() && ctx.Err() == nil && c.gateway.crashes.crashed(ctx, c.gateway.pool, c.log, a.reservation)
@@ -233,6 +239,26 @@
 	return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 }
 
+// checkStart returns an error if the endpoint's weights may not be used any longer. It is
+// called just before the request is sent: the endpoint may have been selected, and its
+// connection opened, some time ago.
+func (a *attempt) checkStart() error {
+	if by := a.reservation.StartBy(); !by.IsZero() && !time.Now().Before(by) {
+		return &oldWeightsError{weights: a.reservation.Weights(), late: time.Since(by)}
+	}
+	return nil
+}
+
+// oldWeightsError reports that an endpoint's weights may not be used any longer.
+type oldWeightsError struct {
+	weights int64
+	late    time.Duration // time since a request had to start
+}
+
+func (e *oldWeightsError) Error() string {
+	return fmt.Sprintf("version %d of the weights may not be used any longer, since %v", e.weights, e.late)
+}
+
 // startTimeLeft returns how long the endpoint's weights could still be used when the
 // request was sent, less a margin, or 0 if they are not superseded.
 func (a *attempt) startTimeLeft() time.Duration {
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -144,6 +144,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	exchange, withdraw := context.WithCancel(ctx)
 	a := &attempt{call: c, reservation: reservation, permit: permit, request: request, resumed: c.progress.started, cancel: cancel, withdraw: withdraw}
+	a.request.CheckSend = a.checkStart
 	c.attempts = append(c.attempts, a)
 	c.sends++
 	c.silenceTimer.Reset(c.silenceTimeout())
--- a/internal/traffic/forward/exchange.go
+++ b/internal/traffic/forward/exchange.go
@@ -24,8 +24,24 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+
+	// CheckSend is called when a connection is there and before anything is sent on it.
+	// If it returns an error, nothing is sent. A nil CheckSend permits all requests.
+	CheckSend func() error
+}
+
+// WithheldError reports that a request was not sent because its CheckSend failed.
+type WithheldError struct {
+	Address string
+	Cause   error
 }
 
+func (e *WithheldError) Error() string {
+	return fmt.Sprintf("request to endpoint %s withheld: %v", e.Address, e.Cause)
+}
+
+func (e *WithheldError) Unwrap() error { return e.Cause }
+
 // LostError reports that a request was sent but its response was not received
 // completely. The endpoint may have executed the request.
 type LostError struct {
@@ -62,12 +78,18 @@
 // Send sends a request and waits for the header of the response. It fails when
 // ctx is done or when the header has not arrived by the given time, if that isn't
 // zero. A connection that was idle for longer than maxIdleTime isn't reused. The
-// error is a *fulmardeal.UnsentError or a *LostError.
+// error is a *fulmardeal.UnsentError, a *WithheldError or a *LostError.
 func (p *Pool) Send(ctx context.Context, address string, r Request, maxIdleTime time.Duration, headerBy time.Time) (*Exchange, error) {
 	c, err := p.get(ctx, address, maxIdleTime)
 	if err != nil {
 		return nil, err
 	}
+	if r.CheckSend != nil {
+		if err := r.CheckSend(); err != nil {
+			p.put(address, c, c.idleTimeout)
+			return nil, &WithheldError{Address: address, Cause: err}
+		}
+	}
 	x := &Exchange{pool: p, address: address, conn: c, bodyWritten: make(chan error, 1)}
 	x.stopAfterFunc = context.AfterFunc(ctx, func() { c.Close() })
 	if err := x.start(r, headerBy); err != nil {
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -201,6 +201,35 @@
 	}
 }
 
+// What decided that a request may be sent can be out of date when its connection is
+// there: the check right before it is sent keeps it from the endpoint, and the connection
+// for other requests.
+func TestRequestIsCheckedWhenConnected(t *testing.T) {
+	var received atomic.Int32
+	address := startEndpoint(t, func(c net.Conn, _ *http.Request) bool {
+		received.Add(1)
+		return play(c, "HTTP/1.1 200 OK\nContent-Length: 2\n\nok")
+	})
+	p, cleanup := NewPool(1 << 20)
+	defer cleanup()
+	refused := errors.New("too late")
+	for range 2 {
+		r := newRequest("")
+		r.CheckSend = func() error { return refused }
+		_, err := p.Send(t.Context(), address, r, time.Hour, time.Now().Add(time.Second))
+		var withheld *WithheldError
+		if !errors.As(err, &withheld) || !errors.Is(err, refused) {
+			t.Errorf("error %v, want *WithheldError", err)
+		}
+	}
+	if got := outcome(p, address); got != `whole "ok" kept` {
+		t.Errorf("request after those withheld: %s", got)
+	}
+	if dialed, _ := p.Counts(); dialed != 1 || received.Load() != 1 {
+		t.Errorf("%d requests received on %d connections, want 1 on 1", received.Load(), dialed)
+	}
+}
+
 // TestCancelClosesTheConnection checks that cancelling the context closes the
 // connection to the endpoint, both before and during the response.
 func TestCancelClosesTheConnection(t *testing.T) {
