proof/soak, standin/site: faults that end the reason for work, and a check of callers that left

It can now: connections to the store or to an endpoint that go silent for good without a reset, a store that refuses or ignores one process, versions published beside a stopped, silenced or restarting process and in series, engines that restart under the same id with nothing or with old weights, that register and report an old state, or that take older weights again, endpoints that repeat a refusal or answer a resumed stream with the text of an error, callers that send more and leave in several ways, and another writer's odd records.

The new check "gone" counts runs that go on, and requests that reach an endpoint, half a second after the caller left. The check of the version of the weights was excused by any fault of any process or endpoint since the publication. Only faults of the store and of links stop the time that is allowed, and only a fault of the entry that sent the request excuses it, so one of its cases (an endpoint disturbed) is a violation now. Text between the events of a stream, which was ignored, is a violation too.

TestChecker breaks each of these promises alone.

--- a/internal/proof/soak/answers.go
+++ b/internal/proof/soak/answers.go
@@ -74,6 +74,7 @@
 		c.checkUnbroken(r, nil, fmt.Sprintf("status %d", resp.StatusCode))
 	case err != nil:
 		c.counts.Failed++
+		c.checkForeign(r, body)
 		if !c.allUndisturbed(r.sent) {
 			c.checkUnbroken(r, body, fmt.Sprintf("answer truncated after %d bytes: %v", len(body), err))
 			return
@@ -145,6 +146,7 @@
 // stream, or an empty string if nothing is.
 func checkEvents(r *request, body []byte) string {
 	scanner := bufio.NewScanner(bytes.NewReader(body))
+	scanner.Buffer(nil, maxAnswerBytes)
 	events, ended, source := 0, false, ""
 	for scanner.Scan() {
 		line := scanner.Text()
@@ -157,6 +159,9 @@
 		}
 		data, found := strings.CutPrefix(line, "data: ")
 		if !found {
+			if line != "" && !strings.HasPrefix(line, ":") {
+				return fmt.Sprintf("after event %d comes what is no event: %q", events, line[:min(len(line), maxQuoted)])
+			}
 			continue
 		}
 		fields := strings.Fields(data)
--- a/internal/proof/soak/caller.go
+++ b/internal/proof/soak/caller.go
@@ -92,6 +92,37 @@
 	for c.poison != "" && route.Kind != fulmardeal.KindStream {
 		route = &c.deployment.routes[c.random.IntN(len(c.deployment.routes))]
 	}
+	r := c.newRequest(route)
+	ctx, cancel := context.WithTimeout(context.Background(), r.deadline)
+	defer cancel()
+	checker := c.deployment.checker
+	cancels := c.random.IntN(cancelOdds) == 0
+	if cancels {
+		time.AfterFunc(time.Duration(c.random.IntN(300))*time.Millisecond, cancel)
+	}
+	httpReq := c.encode(ctx, r)
+	r.sent = time.Now()
+	checker.requestSent(r)
+	resp, err := c.client.Do(httpReq)
+	if err != nil {
+		c.entry = -1
+		checker.requestFailed(r, err, cancels)
+		return 0
+	}
+	defer resp.Body.Close()
+	if resp.Close {
+		c.entry = -1 // the entry closes the connection after this answer
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	checker.responseReceived(r, resp, body, err, cancels)
+	if platform.GuaranteesNotRun(resp.StatusCode) {
+		return min(platform.PeerCodec{}.RetryAfter(resp.Header), time.Second)
+	}
+	return 0
+}
+
+// newRequest returns the next request, on the given route.
+func (c *caller) newRequest(route *fulmardeal.Route) *request {
 	customer := &c.deployment.customers[c.random.IntN(len(c.deployment.customers))]
 	r := &request{
 		attempt:  c.attempt(),
@@ -109,40 +140,21 @@
 	} else {
 		r.body = fmt.Appendf(nil, "%s %s", r.attempt, strings.Repeat("a", c.random.IntN(maxBodyBytes)))
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), r.deadline)
-	defer cancel()
-	cancels := c.random.IntN(cancelOdds) == 0
-	if cancels {
-		time.AfterFunc(time.Duration(c.random.IntN(300))*time.Millisecond, cancel)
-	}
-	httpReq, err := http.NewRequestWithContext(ctx, r.method, "http://"+c.deployment.fleet.entryAddress(c.entry)+r.path, bytes.NewReader(r.body))
+	return r
+}
+
+// encode returns a request as it is sent.
+func (c *caller) encode(ctx context.Context, r *request) *http.Request {
+	httpReq, err := http.NewRequestWithContext(ctx, r.method, "http://"+c.deployment.fleet.entryAddress(r.entry)+r.path, bytes.NewReader(r.body))
 	if err != nil {
 		panic(err) // the address and path are made in this package
 	}
-	httpReq.Host = route.Host
+	httpReq.Host = r.route.Host
 	metadata := fulmardeal.RequestMetadata{AttemptID: r.attempt, Deadline: r.deadline, APIKey: r.key}
-	if route.Kind == fulmardeal.KindStream {
+	if r.route.Kind == fulmardeal.KindStream {
 		metadata.Model, metadata.PromptTokens, metadata.MaxOutputTokens, metadata.ExpectedOutputTokens = modelName, promptTokens, outputTokens, outputTokens
 		metadata.PromptPrefix = c.prompt(r.attempt)
 	}
 	platform.PeerCodec{}.SetRequestMetadata(httpReq.Header, metadata)
-	r.sent = time.Now()
-	checker := c.deployment.checker
-	checker.requestSent(r)
-	resp, err := c.client.Do(httpReq)
-	if err != nil {
-		c.entry = -1
-		checker.requestFailed(r, err, cancels)
-		return 0
-	}
-	defer resp.Body.Close()
-	if resp.Close {
-		c.entry = -1 // the entry closes the connection after this answer
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	checker.responseReceived(r, resp, body, err, cancels)
-	if platform.GuaranteesNotRun(resp.StatusCode) {
-		return min(platform.PeerCodec{}.RetryAfter(resp.Header), time.Second)
-	}
-	return 0
+	return httpReq
 }
--- a/internal/proof/soak/checker.go
+++ b/internal/proof/soak/checker.go
@@ -39,6 +39,7 @@
 	GuaranteeUnbroken       Guarantee = "unbroken"        // a request that a sound endpoint runs is not given up before its time is up, nor left without an answer
 	GuaranteeQuarantined    Guarantee = "quarantined"     // requests with a part that crashes endpoints are kept from them
 	GuaranteeSound          Guarantee = "sound"           // no other request is refused for its parts
+	GuaranteeGone           Guarantee = "gone"            // requests end when their callers have left
 	GuaranteeRecovery       Guarantee = "recovery"        // requests are served again after the faults
 )
 
@@ -110,12 +111,16 @@
 	addresses map[string]string // addresses of the endpoints that the request reached, by their IDs
 	runs      []string          // IDs of the endpoints that ran the request
 	refused   bool              // an answer guaranteed that the request has not run
+	left      time.Time         // when the caller left; zero if it has not
+	leave     string            // how the caller leaves; empty if it was not meant to
+	spans     []*runSpan        // its runs, in the order of runs
 }
 
 // disturbance is the interval in which a fault is in effect.
 type disturbance struct {
 	scope    string // what the fault affects: a process, an endpoint, or all
 	from, to time.Time
+	link     bool // the fault is one of a link
 }
 
 // scopeAll is the scope of faults that affect all processes.
@@ -154,6 +159,7 @@
 	violations   []Violation
 	excessRuns   []Violation
 	lateAnswers  []Violation
+	gone         goneRecord
 	counts       Counts
 }
 
@@ -180,11 +186,19 @@
 
 // Disturb records that a fault affects a scope from now on; the returned
 // function records its end.
-func (c *Checker) Disturb(scope string) func() {
+func (c *Checker) Disturb(scope string) func() { return c.disturb(disturbance{scope: scope}) }
+
+// DisturbLink is Disturb for a fault of the link of a process or endpoint.
+func (c *Checker) DisturbLink(scope string) func() {
+	return c.disturb(disturbance{scope: scope, link: true})
+}
+
+func (c *Checker) disturb(d disturbance) func() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	i := len(c.disturbances)
-	c.disturbances = append(c.disturbances, disturbance{scope: scope, from: time.Now()})
+	d.from = time.Now()
+	c.disturbances = append(c.disturbances, d)
 	return func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -284,6 +298,7 @@
 	c.checkDestination(r, a)
 	c.checkNotices(r, a)
 	c.checkPoison(r, a)
+	c.checkArrivalAfterLeaving(r, a)
 	left := r.deadline - a.Time.Sub(r.sent)
 	// If a fault delayed the request in transit, less time is left than when the
 	// entry computed the deadline, so the check would fail without a violation.
@@ -375,6 +390,7 @@
 		return // RequestReceived has recorded the violation
 	}
 	r.runs = append(r.runs, a.Endpoint.ID)
+	r.spans = append(r.spans, &runSpan{endpoint: a.Endpoint.ID, address: a.Endpoint.Address, from: a.Time, expected: a.Expected})
 	if !r.route.Repeatable() {
 		if len(r.runs) > 1 {
 			c.record(GuaranteeAtMostOnce, a.Attempt, "ran more than once, at %v", r.runs)
@@ -390,19 +406,7 @@
 		c.record(GuaranteeIntactWeights, a.Attempt, "%s runs it with weights that differ from version %d", a.Endpoint.ID, a.Version)
 	}
 	if a.Version > 0 {
-		c.checkWeights(a)
-	}
-}
-
-// checkWeights records a violation if the endpoint serves an old version of the
-// weights although a newer one was published more than boundWeights ago. It does not
-// if a fault has been in effect since the publication.
-func (c *Checker) checkWeights(a site.ReceivedRequest) {
-	for _, published := range c.published {
-		if published.version > a.Version && a.Time.Sub(published.at) > boundWeights && c.allUndisturbed(published.at) {
-			c.record(GuaranteeWeightsVersion, a.Attempt, "%s started it on version %d, %v after version %d was published", a.Endpoint.ID, a.Version, a.Time.Sub(published.at), published.version)
-			return
-		}
+		c.checkWeights(r, a)
 	}
 }
 
@@ -417,6 +421,7 @@
 	if len(c.lateAnswers) >= minLateAnswers {
 		out = append(out, c.lateAnswers...)
 	}
+	out = append(out, c.checkGone()...)
 	out = append(out, c.checkRetryBudget()...)
 	slices.SortFunc(out, func(a, b Violation) int { return int(a.At - b.At) })
 	return c.counts, out
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -191,13 +191,15 @@
 		{"paused, the entry frozen", read, func(f *fixture) { f.Disturb("entry-0")(); f.pausedRequests(3) }, ""},
 		{"old weights", read, func(f *fixture) { f.Published(2); f.arrival.Version = 1; f.delay(8100 * time.Millisecond); f.run() }, GuaranteeWeightsVersion},
 		{"old weights, in time", read, func(f *fixture) { f.Published(2); f.arrival.Version = 1; f.delay(7900 * time.Millisecond); f.run() }, ""},
-		{"old weights, something disturbed", read, func(f *fixture) {
-			f.Published(2)
-			f.Disturb("endpoint-3")()
-			f.arrival.Version = 1
-			f.delay(8100 * time.Millisecond)
-			f.run()
-		}, ""},
+		{"old weights, an endpoint disturbed", read, func(f *fixture) { f.runOld(f.Disturb, "endpoint-3", 0, 8100*time.Millisecond) }, GuaranteeWeightsVersion},
+		{"old weights, a process out of touch before", read, func(f *fixture) { f.runOld(f.Disturb, "entry-0", 0, 8100*time.Millisecond) }, GuaranteeWeightsVersion},
+		{"old weights, the entry out of touch", read, func(f *fixture) { f.runOld(f.Disturb, "entry-0", 6*time.Second, 2500*time.Millisecond) }, ""},
+		{"old weights, another entry out of touch", read, func(f *fixture) { f.runOld(f.Disturb, "entry-1", 6*time.Second, 2500*time.Millisecond) }, GuaranteeWeightsVersion},
+		{"old weights, a link disturbed", read, func(f *fixture) { f.runOld(f.DisturbLink, "endpoint-3", time.Second, 7900*time.Millisecond) }, ""},
+		{"old weights, long after a link was disturbed", read, func(f *fixture) { f.runOld(f.DisturbLink, "endpoint-3", time.Second, 8100*time.Millisecond) }, GuaranteeWeightsVersion},
+		{"old weights, long before a link was disturbed", read, func(f *fixture) { f.runOld(f.DisturbLink, "endpoint-3", 8100*time.Millisecond, time.Second) }, GuaranteeWeightsVersion},
+		{"old weights, the store disturbed", read, func(f *fixture) { f.runOld(f.Disturb, scopeAll, 0, 10900*time.Millisecond) }, ""},
+		{"old weights, long after the store was disturbed", read, func(f *fixture) { f.runOld(f.Disturb, scopeAll, 0, 11100*time.Millisecond) }, GuaranteeWeightsVersion},
 		{"wrong weights", read, func(f *fixture) { f.arrival.Version, f.arrival.Incomplete = 1, true; f.run() }, GuaranteeIntactWeights},
 		{"cold", read, func(f *fixture) { f.arriveWhileCold(36, time.Second) }, GuaranteeColdRate},
 		{"cold, at its rate", read, func(f *fixture) { f.arriveWhileCold(35, time.Second) }, ""},
@@ -259,6 +261,45 @@
 			f.req.poison = "dead-1"
 			f.respond(503, "", "quarantined\n", nil)
 		}, ""},
+		{"gone, runs on", read, func(f *fixture) { f.leave(2*time.Second, 600*time.Millisecond) }, GuaranteeGone},
+		{"gone, the stream runs on", stream, func(f *fixture) { f.leave(2*time.Second, 600*time.Millisecond) }, GuaranteeGone},
+		{"gone, an order runs on", once, func(f *fixture) { f.leave(2*time.Second, 600*time.Millisecond) }, ""},
+		{"gone, dropped in time", read, func(f *fixture) { f.leave(2*time.Second, 400*time.Millisecond) }, ""},
+		{"gone, never dropped", read, func(f *fixture) { f.leave(2*time.Second, 0) }, GuaranteeGone},
+		{"gone, would have ended as soon", read, func(f *fixture) { f.leave(300*time.Millisecond, 600*time.Millisecond) }, ""},
+		{"gone, one of four runs on", read, func(f *fixture) {
+			for range 3 {
+				f.leave(2*time.Second, 400*time.Millisecond)
+				f.another()
+			}
+			f.leave(2*time.Second, 600*time.Millisecond)
+		}, ""},
+		{"gone, two of four run on", read, func(f *fixture) {
+			for i := range 4 {
+				f.leave(2*time.Second, 400*time.Millisecond+time.Duration(i%2)*200*time.Millisecond)
+				f.another()
+			}
+		}, GuaranteeGone},
+		{"gone, runs on, the entry disturbed", read, func(f *fixture) { f.Disturb("entry-0")(); f.leave(2*time.Second, 600*time.Millisecond) }, ""},
+		{"gone, runs on, its endpoint disturbed", read, func(f *fixture) { f.Disturb("10.0.0.1:1")(); f.leave(2*time.Second, 600*time.Millisecond) }, ""},
+		{"gone, runs on, another endpoint disturbed", read, func(f *fixture) { f.Disturb("10.0.0.9:1")(); f.leave(2*time.Second, 600*time.Millisecond) }, GuaranteeGone},
+		{"gone, runs on, the entry disturbed long after", read, func(f *fixture) {
+			f.leave(2*time.Second, 600*time.Millisecond)
+			f.Disturb("entry-0")
+		}, GuaranteeGone},
+		{"gone, four arrive later", once, func(f *fixture) { f.arriveAfterLeaving(4, 600*time.Millisecond) }, GuaranteeGone},
+		{"gone, three arrive later", once, func(f *fixture) { f.arriveAfterLeaving(3, 600*time.Millisecond) }, ""},
+		{"gone, four arrive in time", once, func(f *fixture) { f.arriveAfterLeaving(4, 400*time.Millisecond) }, ""},
+		{"stream with an error's text within", stream, func(f *fixture) {
+			f.run()
+			f.respondStream(events("e1", 1, 5), "internal error\n\n", events("e1", 6, 12))
+		}, GuaranteeWholeStream},
+		{"stream with comments", stream, func(f *fixture) { f.run(); f.respondStream(":x\n", events("e1", 1, 12)) }, ""},
+		{"stream with an error's head, broken off", stream, func(f *fixture) {
+			f.Disturb("10.0.0.1:1")
+			f.run()
+			f.respond(200, "", events("e1", 1, 5)+"HTTP/1.1 500 Internal Server Error\r\n", errors.New("unexpected EOF"))
+		}, GuaranteeWholeStream},
 		{"caller left", once, func(f *fixture) { f.run(); f.requestFailed(f.req, errors.New("EOF"), true) }, ""},
 	}
 	for _, tc := range tests {
@@ -277,6 +318,50 @@
 	}
 }
 
+// runOld publishes a version, disturbs a scope some time later for a moment, and lets the
+// request run on the version before some time after that.
+func (f *fixture) runOld(disturb func(string) func(), scope string, before, after time.Duration) {
+	f.Published(2)
+	time.Sleep(before)
+	disturb(scope)()
+	f.arrival.Version = 1
+	f.delay(after)
+	f.run()
+}
+
+// leave lets the request begin a run of the given length, and its caller leave. The run ends
+// some time later, or never if end is 0.
+func (f *fixture) leave(length, end time.Duration) {
+	f.arrival.Expected = length
+	f.req.sent = time.Now()
+	f.run()
+	f.callerLeft(f.req)
+	if end > 0 {
+		time.Sleep(end)
+		f.RequestEnded(f.arrival)
+	}
+}
+
+// another replaces the request by another one.
+func (f *fixture) another() {
+	r := &request{}
+	*r = *f.req
+	r.attempt += "+"
+	r.left, r.runs, r.spans, r.arrivals = time.Time{}, nil, nil, nil
+	f.req, f.arrival.Attempt = r, r.attempt
+	f.requestSent(r)
+}
+
+// arriveAfterLeaving lets requests whose callers have left reach the endpoint some time later.
+func (f *fixture) arriveAfterLeaving(n int, after time.Duration) {
+	for range n {
+		f.callerLeft(f.req)
+		time.Sleep(after)
+		f.receive(1)
+		f.another()
+	}
+}
+
 // cutAfterSecond lets the request reach a second endpoint too, which is disturbed, and
 // cuts the answer after an event of the given endpoint.
 func (f *fixture) cutAfterSecond(source string) {
--- a/internal/proof/soak/deployment.go
+++ b/internal/proof/soak/deployment.go
@@ -42,8 +42,9 @@
 	portEndpointDirect = 8101 // port of the endpoint itself
 	portStore          = 9000
 	portOrigin         = 9001
-	maxNetworks        = 250 // 127.1.0.0/16 to 127.250.0.0/16, one for each concurrent run
-	hostsPerSubnet     = 200 // hosts per /24 of the loopback addresses
+	portStoreView      = 9002 // the store as one process sees it
+	maxNetworks        = 250  // 127.1.0.0/16 to 127.250.0.0/16, one for each concurrent run
+	hostsPerSubnet     = 200  // hosts per /24 of the loopback addresses
 )
 
 // deployment is what one run tests: the simulated platform, the processes of
@@ -57,6 +58,7 @@
 	endpoints       []*site.Endpoint // all endpoints of the run, first the engines and then the plain ones
 	endpointProxies []*site.Proxy    // proxies in front of the endpoints, one for each
 	storeProxies    []*site.Proxy    // proxies in front of the store, one for each process of the system
+	storeViews      []*site.View     // the store as each process sees it, behind its proxy
 	fleet           *fleet
 	routes          []fulmardeal.Route
 	customers       []fulmardeal.Customer
@@ -70,6 +72,7 @@
 	storeModes     []site.Mode    // modes of the store, one for each fault in progress
 	evacuations    map[string]int // evacuations in progress of each data centre
 	poisons        int            // poisoned parts so far
+	leaving        int            // groups of callers of FaultLeavers so far
 }
 
 func (d *deployment) close() {
@@ -177,11 +180,16 @@
 
 // addMember adds a process with its own proxy in front of the store.
 func (d *deployment) addMember(n int, dc string) error {
-	storeAddress := d.address(1+n, portStore)
-	proxy, closeProxy, err := site.NewProxy(storeAddress, d.address(0, portStore))
+	storeAddress, viewAddress := d.address(1+n, portStore), d.address(1+n, portStoreView)
+	view := d.store.View()
+	if err := d.startServer(viewAddress, view); err != nil {
+		return err
+	}
+	proxy, closeProxy, err := site.NewProxy(storeAddress, viewAddress)
 	if err != nil {
 		return err
 	}
+	d.storeViews = append(d.storeViews, view)
 	d.storeProxies = append(d.storeProxies, proxy)
 	d.cleanups = append(d.cleanups, closeProxy)
 	m := &member{role: RoleEntry, settings: fulmardeal.Settings{
--- a/internal/proof/soak/inject.go
+++ b/internal/proof/soak/inject.go
@@ -18,7 +18,8 @@
 // FaultPowerAll consist of.
 func (d *deployment) inject(fault Fault) {
 	switch fault.Kind {
-	case FaultKill, FaultTerminate, FaultPause, FaultReload, FaultCutStore:
+	case FaultKill, FaultTerminate, FaultPause, FaultReload, FaultCutStore, FaultMuteStore, FaultLimitStore, FaultDenyStore, FaultHangStore,
+		FaultNamePaused, FaultNameMuted, FaultNameKilled:
 		d.injectMember(fault)
 	case FaultStoreDown, FaultStoreSilent, FaultStoreSlow, FaultStoreLossy:
 		d.injectStore(fault)
@@ -40,6 +41,12 @@
 			silences.Go(func() { d.injectEndpoint(Fault{Kind: FaultSilent, For: fault.For, Target: i}) })
 		}
 		silences.Wait()
+	case FaultNameSeries:
+		d.publishSeries()
+	case FaultLeavers:
+		d.leavers(fault)
+	case FaultOddRecords:
+		d.writeOddRecords(fault)
 	case FaultPoison:
 		d.poison(fault)
 	case FaultRack:
@@ -84,22 +91,40 @@
 		d.fleet.signal(f.Target, syscall.SIGHUP, false)
 		return
 	}
+	if mode, link := storeMode(f.Kind); link {
+		end := d.checker.DisturbLink(m.settings.Name)
+		defer end()
+		d.cutStore(f, mode)
+		return
+	}
 	end := d.checker.Disturb(m.settings.Name)
 	defer end()
 	switch f.Kind {
 	case FaultKill:
 		d.fleet.kill(f.Target)
 	case FaultPause:
-		d.fleet.signal(f.Target, syscall.SIGSTOP, false)
-		time.Sleep(f.For)
-		d.fleet.signal(f.Target, syscall.SIGCONT, false)
-	case FaultCutStore:
-		d.storeProxies[f.Target].SetFaults(site.ProxyFaults{HoldToTarget: true, HoldToCaller: true})
-		time.Sleep(f.For)
-		d.storeProxies[f.Target].SetFaults(site.ProxyFaults{})
+		d.pause(f, func() {})
+	case FaultNamePaused:
+		d.pause(f, d.publishVersion)
+	case FaultNameKilled:
+		time.AfterFunc(processRestartDelay/2, d.publishVersion)
+		d.fleet.kill(f.Target)
+	case FaultMuteStore:
+		d.storeProxies[f.Target].Mute()
+	case FaultNameMuted:
+		d.storeProxies[f.Target].Mute()
+		d.publishVersion()
 	}
 }
 
+// pause stops a process for the duration of the fault, and calls do meanwhile.
+func (d *deployment) pause(f Fault, do func()) {
+	d.fleet.signal(f.Target, syscall.SIGSTOP, false)
+	do()
+	time.Sleep(f.For)
+	d.fleet.signal(f.Target, syscall.SIGCONT, false)
+}
+
 // injectStore causes a fault of the store for all processes. If faults of the store
 // overlap, the mode of the fault that began last stays until all of them have ended.
 func (d *deployment) injectStore(f Fault) {
@@ -175,8 +200,15 @@
 		e.Silence(f.For)
 		time.Sleep(f.For)
 		return
+	case FaultRevert:
+		e.Revert()
+		return
 	}
-	end := d.checker.Disturb(reg.Address)
+	disturb := d.checker.Disturb
+	if f.Kind.disturbsLink() {
+		disturb = d.checker.DisturbLink
+	}
+	end := disturb(reg.Address)
 	defer end()
 	injectProxyFaults := func(faults site.ProxyFaults) {
 		proxy.SetFaults(faults)
@@ -198,6 +230,20 @@
 		d.checker.Draining(reg.ID)
 		time.Sleep(boundDrain + drainExtra)
 		d.restartEndpoint(f.Target, false)
+	case FaultMute:
+		proxy.Mute()
+	case FaultSameID, FaultSameIDFirst:
+		d.restartAs(f.Target, f.Kind == FaultSameIDFirst)
+	case FaultStale:
+		e.Stale(f.For)
+		d.restartAs(f.Target, true)
+		time.Sleep(f.For - endpointRestartDelay)
+	case FaultRepeat:
+		injectEndpointFault(site.FaultRepeat)
+	case FaultErrorText:
+		injectEndpointFault(site.FaultErrorText)
+	case FaultSecondHead:
+		injectEndpointFault(site.FaultSecondHead)
 	case FaultSlow:
 		injectEndpointFault(site.FaultSlow)
 	case FaultCutAnswers:
@@ -220,6 +266,17 @@
 }
 
 func (d *deployment) restartEndpoint(i int, powerLoss bool) {
+	d.restart(i, powerLoss, func() {})
+}
+
+// restartAs crashes an engine, which restarts under the same id; with version 1 of the weights
+// loaded and staged, or with nothing loaded.
+func (d *deployment) restartAs(i int, preloaded bool) {
+	d.restart(i, false, func() { d.endpoints[i].KeepID(preloaded) })
+}
+
+// restart crashes an endpoint and starts it again; prepare is called between.
+func (d *deployment) restart(i int, powerLoss bool, prepare func()) {
 	proxy := d.endpointProxies[i]
 	// The instance refuses connections while its process is gone. One without power
 	// doesn't reply; the proxy then accepts and resets them.
@@ -227,6 +284,7 @@
 	d.endpoints[i].Crash(powerLoss)
 	proxy.Reset()
 	time.Sleep(endpointRestartDelay)
+	prepare()
 	if err := errors.Join(err, d.endpoints[i].Start(), proxy.SetListening(true)); err != nil {
 		d.checker.recordUnattributed(GuaranteeRecovery, "simulated endpoint %d could not be restarted: %v", i, err)
 	}
--- a/internal/proof/soak/operator.go
+++ b/internal/proof/soak/operator.go
@@ -7,6 +7,10 @@
 	"fulmardeal/platform"
 )
 
+// seriesInterval is the time between two versions of a series, shorter than that in which one
+// is loaded everywhere.
+const seriesInterval = 1200 * time.Millisecond
+
 // appendRecord appends an operator's record to the store.
 func (d *deployment) appendRecord(r platform.Record, err error) {
 	if err != nil {
@@ -53,6 +57,16 @@
 	d.checker.Published(d.weightsVersion)
 }
 
+// publishSeries publishes versions of the weights one after another.
+func (d *deployment) publishSeries() {
+	for i := range seriesLength {
+		if i > 0 {
+			time.Sleep(seriesInterval)
+		}
+		d.publishVersion()
+	}
+}
+
 // evacuate takes a data centre out of service for the duration of the fault and
 // boundEvacuate longer. The checker tolerates requests to the data centre for
 // boundEvacuate, so a shorter evacuation might never be checked. If evacuations of a
--- a/internal/proof/soak/plan.go
+++ b/internal/proof/soak/plan.go
@@ -48,6 +48,25 @@
 	FaultPoison         Kind = "poison"        // callers send requests with a part that crashes each engine that begins to answer it
 	FaultRack           Kind = "rack"          // most endpoints crash at once and restart
 	FaultPowerAll       Kind = "power-all"     // all processes are killed and all endpoints lose power at once
+
+	FaultMuteStore   Kind = "mute-store"  // a process's open connections to the store go silent for good; new ones work
+	FaultMute        Kind = "mute"        // the same for the connections to an endpoint
+	FaultLimitStore  Kind = "limit-store" // the store answers one process with 429
+	FaultDenyStore   Kind = "deny-store"  // the store answers one process with 503
+	FaultHangStore   Kind = "hang-store"  // the store leaves one process without answers
+	FaultNamePaused  Kind = "name-paused" // a version is published while a process is stopped by SIGSTOP
+	FaultNameMuted   Kind = "name-muted"  // a version is published just after a process's connections to the store go silent
+	FaultNameKilled  Kind = "name-killed" // a version is published just before a process starts again
+	FaultNameSeries  Kind = "name-series" // versions are published one after another
+	FaultSameID      Kind = "same-id"     // an engine crashes and restarts under the same id, with nothing loaded
+	FaultSameIDFirst Kind = "same-id-v1"  // the same, with version 1 loaded and staged
+	FaultStale       Kind = "stale"       // an engine's registration and report are old, and it crashes and restarts under the same id
+	FaultRevert      Kind = "revert"      // an engine takes the weights of before again
+	FaultRepeat      Kind = "repeat"      // an endpoint writes an earlier refusal once more on a kept connection
+	FaultErrorText   Kind = "error-text"  // an engine cuts streams, and answers resumed ones with the text of an error
+	FaultSecondHead  Kind = "second-head" // an engine cuts streams, and writes a second response into resumed ones
+	FaultLeavers     Kind = "leavers"     // callers leave in the middle of requests that last long
+	FaultOddRecords  Kind = "odd-records" // another writer's invalid records are among the registrations
 )
 
 // targetKind is the kind of target that a fault affects.
@@ -57,6 +76,7 @@
 	targetNothing targetKind = iota
 	targetProcess
 	targetEndpoint
+	targetEngine
 	targetDataCentre
 	targetChange // a change of the configuration: a route to move, or a key to revoke
 )
@@ -100,6 +120,24 @@
 	{FaultPoison, targetNothing, 4},
 	{FaultRack, targetNothing, 2},
 	{FaultPowerAll, targetNothing, 1},
+	{FaultMuteStore, targetProcess, 3},
+	{FaultMute, targetEndpoint, 3},
+	{FaultLimitStore, targetProcess, 1},
+	{FaultDenyStore, targetProcess, 1},
+	{FaultHangStore, targetProcess, 1},
+	{FaultNamePaused, targetProcess, 2},
+	{FaultNameMuted, targetProcess, 2},
+	{FaultNameKilled, targetProcess, 2},
+	{FaultNameSeries, targetNothing, 1},
+	{FaultSameID, targetEngine, 2},
+	{FaultSameIDFirst, targetEngine, 2},
+	{FaultStale, targetEngine, 2},
+	{FaultRevert, targetEngine, 2},
+	{FaultRepeat, targetEndpoint, 2},
+	{FaultErrorText, targetEngine, 2},
+	{FaultSecondHead, targetEngine, 2},
+	{FaultLeavers, targetNothing, 4},
+	{FaultOddRecords, targetNothing, 2},
 }
 
 // Fault is one fault of a plan.
@@ -208,6 +246,12 @@
 	maxPoison = 9 * time.Second
 )
 
+// Callers that leave come for so long that enough of them leave.
+const (
+	minLeavers = 2 * time.Second
+	maxLeavers = 6 * time.Second
+)
+
 // durations returns the minimum and the maximum length of a fault.
 func (k Kind) durations() (shortest, longest time.Duration) {
 	switch k {
@@ -215,6 +259,8 @@
 		return minSilence, maxSilence
 	case FaultPoison:
 		return minPoison, maxPoison
+	case FaultLeavers:
+		return minLeavers, maxLeavers
 	}
 	return minDuration, maxDuration
 }
@@ -234,6 +280,8 @@
 		return s.Entries + s.Engines
 	case targetEndpoint:
 		return s.Engines + s.Plain
+	case targetEngine:
+		return s.Engines
 	case targetDataCentre:
 		return s.DataCentres
 	case targetChange:
--- a/internal/proof/soak/unguarded_test.go
+++ b/internal/proof/soak/unguarded_test.go
@@ -197,6 +197,8 @@
 		{Kind: soak.FaultCutAnswers, Target: 3, For: 18 * time.Second},
 		{Kind: soak.FaultConfiguration, Target: soak.ChangeRead},
 		{Kind: soak.FaultConfiguration, Target: soak.ChangeKey},
+		{Kind: soak.FaultPublishVersion},
+		{At: time.Second, Kind: soak.FaultLeavers, For: 3 * time.Second},
 		{At: 4 * time.Second, Kind: soak.FaultDrain, Target: 1},
 		{At: 6 * time.Second, Kind: soak.FaultDrain, Target: 2}, // a fault has no effect while another one of its target lasts
 		{At: 10 * time.Second, Kind: soak.FaultDrain, Target: 0},
@@ -209,7 +211,7 @@
 		t.Fatal(err)
 	}
 	for _, p := range []soak.Guarantee{soak.GuaranteeAtMostOnce, soak.GuaranteeTrueRefusal, soak.GuaranteeUnchanged, soak.GuaranteeHome,
-		soak.GuaranteeConfiguration, soak.GuaranteeEvacuated, soak.GuaranteeDrained, soak.GuaranteeRevokedKey} {
+		soak.GuaranteeConfiguration, soak.GuaranteeEvacuated, soak.GuaranteeDrained, soak.GuaranteeRevokedKey, soak.GuaranteeWeightsVersion, soak.GuaranteeGone} {
 		if !slices.ContainsFunc(r.Violations, func(b soak.Violation) bool { return b.Guarantee == p }) {
 			t.Errorf("no violation of %q was found in %+v", p, r.Counts)
 		}
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -32,12 +32,15 @@
 	Forward    fulmardeal.ForwardMetadata
 	Version    int64 // version of the weights that serve the request
 	Incomplete bool  // a chunk of the weights that serve the request is missing or wrong
+	Work       Work
+	Expected   time.Duration // how long the run lasts unless something ends it
 }
 
 // Observer is notified of the requests at all endpoints.
 type Observer interface {
 	RequestReceived(a ReceivedRequest) // a.Endpoint received the request
 	RequestStarted(a ReceivedRequest)  // the request got a slot and starts to run
+	RequestEnded(a ReceivedRequest)    // a run has ended, or its connection has closed
 
 	// NoticeSent is called before a response that says that the endpoint is leaving,
 	// or asks for a pause.
@@ -55,6 +58,15 @@
 	FaultHang     Fault = "hang"    // one in faultInterval requests never gets a response
 	FaultEndless  Fault = "endless" // one in faultInterval responses never ends
 	FaultShed     Fault = "shed"    // all requests are refused with a request for a pause of ShedPause
+
+	// FaultRepeat refuses one in faultInterval requests, and writes that refusal once more
+	// when the next request on the connection runs.
+	FaultRepeat Fault = "repeat"
+
+	// These truncate one in faultInterval streams, and answer resumed ones with the text of
+	// an error: as a plain body with status 200, or as a second response within the stream.
+	FaultErrorText  Fault = "error-text"
+	FaultSecondHead Fault = "second-head"
 )
 
 // Behaviour and limits of an endpoint.
@@ -88,7 +100,7 @@
 }
 
 // Endpoint is one endpoint of a service, including its model engine if it has
-// one. Each start gives it a new id.
+// one. Each start gives it a new id, unless KeepID was called before.
 type Endpoint struct {
 	options EndpointOptions
 	silence silence
@@ -99,15 +111,20 @@
 	draining   bool
 	leaving    bool // responses say that the endpoint leaves, its registration does not
 	startCount int
+	idCount    int // of the starts that gave the endpoint a new id
+	keepID     bool
 	sequence   int64
+	stale      staleReports
 	startTime  time.Time
 	fault      Fault
 	requests   int
+	refusals   int // that FaultRepeat has made
 	running    int
 	waiting    int
 	changed    chan struct{} // closed and replaced when a slot becomes free or the engine has loaded
 
 	staged     map[int][]byte
+	restaged   time.Time // when KeepID staged chunks
 	spans      []fulmardeal.Span
 	corrupt    bool // the loaded weights differ from the origin's
 	loading    bool
@@ -140,6 +157,10 @@
 		return err
 	}
 	e.startCount++
+	if !e.keepID {
+		e.idCount++
+	}
+	e.keepID = false
 	e.up, e.draining, e.leaving, e.startTime = true, false, false, time.Now()
 	var h http.Handler = http.HandlerFunc(e.serve)
 	if e.options.Engine != nil {
@@ -199,13 +220,16 @@
 	defer e.mu.Unlock()
 	e.sequence++
 	r := e.registration()
+	if time.Now().Before(e.stale.registrationUntil) {
+		r.Spans, r.Born = e.stale.registration.Spans, e.stale.registration.Born
+	}
 	return r, e.up
 }
 
 func (e *Endpoint) registration() fulmardeal.Registration {
 	o := e.options
 	return fulmardeal.Registration{
-		ID: fmt.Sprintf("%s-%d", o.Address, e.startCount), Service: o.Service, Address: o.Address, DataCentre: o.DataCentre, Slots: o.Slots,
+		ID: fmt.Sprintf("%s-%d", o.Address, e.idCount), Service: o.Service, Address: o.Address, DataCentre: o.DataCentre, Slots: o.Slots,
 		Draining: e.draining, ColdLeft: max(0, o.WarmUp-time.Since(e.startTime)), Sequence: e.sequence, Born: e.startTime, Engine: o.Engine != nil, Spans: e.spans,
 	}
 }
@@ -219,18 +243,22 @@
 	metadata, forward := platform.PeerCodec{}.ReadForwardMetadata(r.Header)
 	ctx, cancel := context.WithTimeout(r.Context(), forward.Deadline)
 	defer cancel()
-	a := ReceivedRequest{Time: receivedAt(r), Method: r.Method, Path: r.URL.RequestURI(), Body: body, Key: metadata.APIKey, Attempt: metadata.AttemptID, Parts: metadata.PromptParts, Forward: forward}
+	a := ReceivedRequest{Time: receivedAt(r), Method: r.Method, Path: r.URL.RequestURI(), Body: body, Key: metadata.APIKey, Attempt: metadata.AttemptID, Parts: metadata.PromptParts, Forward: forward, Work: workOf(r.URL)}
 	refusal := e.acquireSlot(ctx, &a)
 	reply := fulmardeal.ResponseMetadata{AttemptID: a.Attempt, Instance: a.Endpoint.ID, WeightsVersion: a.Version, Running: -1}
 	e.addNotice(a, refusal, &reply)
 	if refusal != 0 {
 		reply.NotRun = true
+		e.rememberRefusal(r, refusal, reply)
 		platform.PeerCodec{}.SetResponseMetadata(w.Header(), reply, "")
 		w.WriteHeader(refusal)
 		return
 	}
 	defer e.releaseSlot()
+	a.Expected = min(e.expected(a), forward.Deadline)
 	e.options.Observer.RequestStarted(a)
+	context.AfterFunc(ctx, func() { e.options.Observer.RequestEnded(a) })
+	e.repeatRefusal(r)
 	e.respond(ctx, w, a, reply)
 }
 
@@ -260,7 +288,7 @@
 		return http.StatusMisdirectedRequest
 	}
 	e.options.Observer.RequestReceived(*a)
-	if e.waiting >= maxWaiting || e.fault == FaultShed {
+	if e.waiting >= maxWaiting || e.fault == FaultShed || e.refusesNow() {
 		return http.StatusServiceUnavailable
 	}
 	startCount := e.startCount
@@ -332,7 +360,7 @@
 		writeEndlessly(ctx, w)
 	}
 	if e.options.Engine == nil {
-		sleep(ctx, delay)
+		sleep(ctx, delay+a.Work.Time)
 		body := Body(a.Attempt, a.Endpoint.ID, a.Body)
 		platform.PeerCodec{}.SetResponseMetadata(w.Header(), reply, Signature(a.Attempt, a.Endpoint.ID, body))
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -344,6 +372,10 @@
 		return
 	}
 	platform.PeerCodec{}.SetResponseMetadata(w.Header(), reply, Signature(a.Attempt, a.Endpoint.ID, nil))
+	if fault == FaultErrorText && a.Forward.LastEventID != "" {
+		writeErrorText(w)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	if err := http.NewResponseController(w).Flush(); err != nil {
 		return
@@ -355,12 +387,18 @@
 		panic(http.ErrAbortHandler)
 	}
 	first, _ := strconv.Atoi(a.Forward.LastEventID) // an empty value resumes at 0
+	truncates := faulty && (fault == FaultTruncate || fault == FaultErrorText || fault == FaultSecondHead)
+	delay += a.Work.Time / eventsPerStream
 	for i := first + 1; i <= eventsPerStream; i++ {
 		sleep(ctx, delay)
-		if ctx.Err() != nil || fault == FaultTruncate && faulty && i > eventsPerStream/2 {
+		if ctx.Err() != nil || truncates && i > eventsPerStream/2 {
 			panic(http.ErrAbortHandler)
 		}
-		if err := writeInParts(w, Event(a.Attempt, a.Endpoint.ID, i)); err != nil {
+		if fault == FaultSecondHead && first > 0 && i > first+1 {
+			writeSecondHead(w)
+			return
+		}
+		if err := writeInParts(w, a.Work.pad(Event(a.Attempt, a.Endpoint.ID, i))); err != nil {
 			return
 		}
 	}
@@ -413,82 +451,3 @@
 	}
 	return fmt.Appendf(nil, "id: %d\ndata: %s %s%s\n\n", n, attempt, endpoint, end)
 }
-
-// State returns the current state of the engine.
-func (e *Endpoint) State() fulmardeal.EngineState {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return fulmardeal.EngineState{Spans: e.spans, Loading: e.loading, Running: e.running, Waiting: e.waiting, OrderCount: e.orderCount, StartedAt: e.startTime}
-}
-
-// Order makes the engine load the staged weights, once the requests in progress
-// have ended. It refuses the order if the engine is already loading, or if expect
-// is not the number of orders accepted since the start.
-func (e *Endpoint) Order(v fulmardeal.Version, expect int64) (started, accepted bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.up || e.loading || expect != e.orderCount {
-		return false, false
-	}
-	version, err := strconv.ParseInt(v.Name, 10, 64)
-	if err != nil {
-		return false, false
-	}
-	e.orderCount++
-	e.loading = true
-	chunks, _ := e.options.Origin.Chunks(v)
-	corrupt := false
-	for i, c := range chunks {
-		corrupt = corrupt || !bytes.Equal(c, e.staged[i])
-	}
-	go e.load(version, corrupt, e.startCount)
-	return true, true
-}
-
-// load waits for the requests in progress to end and then replaces the weights. It
-// has no effect if the endpoint stops or restarts in the meantime.
-func (e *Endpoint) load(version int64, corrupt bool, startCount int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for e.running > 0 && e.startCount == startCount {
-		changed := e.changed
-		e.mu.Unlock()
-		<-changed
-		e.mu.Lock()
-	}
-	e.mu.Unlock()
-	time.Sleep(e.options.Engine.Models[0].Warm)
-	e.mu.Lock()
-	if e.startCount != startCount || !e.up {
-		return
-	}
-	e.spans = []fulmardeal.Span{{From: 0, To: e.options.Engine.Layers, Version: version}}
-	e.corrupt, e.loading = corrupt, false
-	e.wakeWaiters()
-}
-
-// Put stages a chunk.
-func (e *Endpoint) Put(_ string, index int, data []byte) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.staged[index] = data
-}
-
-// Get returns a staged chunk.
-func (e *Endpoint) Get(_ string, index int) ([]byte, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	data, held := e.staged[index]
-	return data, held
-}
-
-// StagedChunks returns the indexes of the staged chunks.
-func (e *Endpoint) StagedChunks(string) []int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var out []int
-	for i := range e.staged {
-		out = append(out, i)
-	}
-	return out
-}
--- a/internal/standin/site/proxy.go
+++ b/internal/standin/site/proxy.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,10 +35,13 @@
 	mu       sync.Mutex
 	listener net.Listener // nil while new connections are refused
 	faults   ProxyFaults
-	conns    map[net.Conn]struct{}
+	conns    map[net.Conn]*mute
 	closed   bool
 }
 
+// mute is set once a connection forwards nothing more, in either direction.
+type mute struct{ atomic.Bool }
+
 // NewProxy listens on an address and forwards its connections to target. The
 // returned function stops the proxy and resets all connections.
 func NewProxy(listen, target string) (*Proxy, func(), error) {
@@ -45,7 +49,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	p := &Proxy{address: listen, target: target, listener: l, conns: make(map[net.Conn]struct{})}
+	p := &Proxy{address: listen, target: target, listener: l, conns: make(map[net.Conn]*mute)}
 	go p.acceptLoop(l)
 	return p, p.close, nil
 }
@@ -88,6 +92,16 @@
 	}
 }
 
+// Mute makes all open connections silent for good: they stay open, and bytes on them get
+// nowhere. New connections work.
+func (p *Proxy) Mute() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.conns {
+		m.Store(true)
+	}
+}
+
 func (p *Proxy) close() {
 	p.mu.Lock()
 	if p.listener != nil {
@@ -131,11 +145,12 @@
 		return
 	}
 	p.mu.Lock()
-	p.conns[caller], p.conns[target] = struct{}{}, struct{}{}
+	var muted mute
+	p.conns[caller], p.conns[target] = &muted, &muted
 	p.mu.Unlock()
 	var directions sync.WaitGroup
-	directions.Go(func() { p.relay(target, caller, func(f ProxyFaults) bool { return f.HoldToTarget }) })
-	directions.Go(func() { p.relay(caller, target, func(f ProxyFaults) bool { return f.HoldToCaller }) })
+	directions.Go(func() { p.relay(target, caller, &muted, func(f ProxyFaults) bool { return f.HoldToTarget }) })
+	directions.Go(func() { p.relay(caller, target, &muted, func(f ProxyFaults) bool { return f.HoldToCaller }) })
 	directions.Wait()
 	p.mu.Lock()
 	delete(p.conns, caller)
@@ -145,7 +160,7 @@
 
 // relay copies bytes in one direction. Bytes that are held back are delivered
 // when the fault ends, as if TCP had retransmitted them.
-func (p *Proxy) relay(to, from net.Conn, isHeld func(ProxyFaults) bool) {
+func (p *Proxy) relay(to, from net.Conn, muted *mute, isHeld func(ProxyFaults) bool) {
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := from.Read(buf)
@@ -155,6 +170,12 @@
 			f, closed = p.current()
 		}
 		time.Sleep(f.Delay)
+		if muted.Load() && !closed {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
 				reset(from)
--- a/internal/standin/site/silence.go
+++ b/internal/standin/site/silence.go
@@ -81,6 +81,7 @@
 	mu       sync.Mutex
 	received time.Time // when the first bytes since the last write arrived; zero if none have
 	last     time.Time // start of the last silence that began before a write
+	refusal  []byte    // that FaultRepeat writes once more; nil for none
 }
 
 // Read returns what was read when the silence is over.
--- a/internal/standin/site/silence_test.go
+++ b/internal/standin/site/silence_test.go
@@ -34,6 +34,7 @@
 	a.times = append(a.times, r.Time)
 }
 func (*arrivals) RequestStarted(site.ReceivedRequest)                  {}
+func (*arrivals) RequestEnded(site.ReceivedRequest)                    {}
 func (*arrivals) NoticeSent(site.ReceivedRequest, bool, time.Duration) {}
 
 // startEndpoint starts an endpoint and returns it with its address and its arrivals.
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -22,10 +22,11 @@
 // Modes of the store.
 const (
 	ModeHealthy Mode = "sound"
-	ModeDown    Mode = "down"   // every call fails with status 503
-	ModeSilent  Mode = "silent" // calls get no response
-	ModeSlow    Mode = "slow"   // responses are delayed by slowDelay
-	ModeLossy   Mode = "lossy"  // calls are executed, but one in lossInterval responses is lost
+	ModeDown    Mode = "down"    // every call fails with status 503
+	ModeSilent  Mode = "silent"  // calls get no response
+	ModeSlow    Mode = "slow"    // responses are delayed by slowDelay
+	ModeLossy   Mode = "lossy"   // calls are executed, but one in lossInterval responses is lost
+	ModeLimited Mode = "limited" // every call fails with status 429
 )
 
 // Times and rates of the simulated store.
@@ -223,6 +224,9 @@
 		case ModeDown:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
+		case ModeLimited:
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
 		case ModeSilent:
 			<-r.Context().Done()
 			return
