proof/soak: engines' old reports outlast their restart, callers that cancel count as left

An engine with an old report restarted after its report had become current, so that only its registration was ever old. The report is now old for 0.3 s from the restart on. Callers that cancel a request early were not seen by the check of callers that left; they are now.

--- a/internal/proof/soak/caller.go
+++ b/internal/proof/soak/caller.go
@@ -98,7 +98,11 @@
 	checker := c.deployment.checker
 	cancels := c.random.IntN(cancelOdds) == 0
 	if cancels {
-		time.AfterFunc(time.Duration(c.random.IntN(300))*time.Millisecond, cancel)
+		leaves := time.AfterFunc(time.Duration(c.random.IntN(300))*time.Millisecond, func() {
+			checker.callerLeft(r)
+			cancel()
+		})
+		defer leaves.Stop()
 	}
 	httpReq := c.encode(ctx, r)
 	r.sent = time.Now()
--- a/internal/proof/soak/inject.go
+++ b/internal/proof/soak/inject.go
@@ -10,6 +10,9 @@
 	"fulmardeal/platform"
 )
 
+// reportLag is how old an engine's report may be.
+const reportLag = 300 * time.Millisecond
+
 // rackStep is such that one in so many endpoints survives FaultRack.
 const rackStep = 3
 
@@ -235,9 +238,9 @@
 	case FaultSameID, FaultSameIDFirst:
 		d.restartAs(f.Target, f.Kind == FaultSameIDFirst)
 	case FaultStale:
-		e.Stale(f.For)
+		e.Stale(endpointRestartDelay+f.For, endpointRestartDelay+reportLag)
 		d.restartAs(f.Target, true)
-		time.Sleep(f.For - endpointRestartDelay)
+		time.Sleep(f.For)
 	case FaultRepeat:
 		injectEndpointFault(site.FaultRepeat)
 	case FaultErrorText:
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -99,9 +99,6 @@
 // found there before.
 const restagedGrace = 3 * time.Second
 
-// reportLag is how old the report of an engine may be.
-const reportLag = 300 * time.Millisecond
-
 // staleReports is what an engine says about itself until the given times, although its state
 // is another. The zero value is nothing.
 type staleReports struct {
@@ -110,13 +107,13 @@
 	state                         fulmardeal.EngineState
 }
 
-// Stale makes the endpoint register its current weights and start for a while, whatever
-// they are meanwhile, and report its current state for reportLag.
-func (e *Endpoint) Stale(d time.Duration) {
+// Stale makes an engine register its current weights and start for a while, and report its
+// current state for another, whatever they are meanwhile.
+func (e *Endpoint) Stale(registration, state time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	e.stale = staleReports{registration: e.registration(), registrationUntil: now.Add(d), stateUntil: now.Add(min(d, reportLag)), state: e.state()}
+	e.stale = staleReports{registration: e.registration(), registrationUntil: now.Add(registration), stateUntil: now.Add(state), state: e.state()}
 }
 
 // KeepID makes the next start of an endpoint that has crashed keep its id. If preloaded is
--- a/internal/standin/site/engine_test.go
+++ b/internal/standin/site/engine_test.go
@@ -149,7 +149,7 @@
 	if version(e) != 1 {
 		t.Errorf("restarted with version 1: version %d", version(e))
 	}
-	e.Stale(time.Minute)
+	e.Stale(time.Minute, time.Minute)
 	restart(e, false)
 	if stale, _ := e.Registration(); version(e) != 1 || fulmardeal.Holds(stale.Spans, 4) != 1 {
 		t.Errorf("stale: reports version %d, registers %+v", version(e), stale)
