--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -410,6 +410,9 @@
 		}
 		for i, f := range a {
 			seen[f.Kind] = true
+			if calm := seed%calmStep == 0; calm && (f.Kind.disturbsLink() || f.Kind.disturbsStore()) {
+				t.Errorf("seed %d: %v, want no fault of a link or of the store", seed, f)
+			}
 			if shortest, longest := f.Kind.durations(); f.For < shortest || f.For > longest {
 				t.Errorf("seed %d: %v, want a length of %v to %v", seed, f, shortest, longest)
 			}
--- a/internal/proof/soak/link.go
+++ b/internal/proof/soak/link.go
@@ -6,13 +6,23 @@
 	"fulmardeal/internal/standin/site"
 )
 
-// disturbsLink reports whether a fault of an endpoint is one of its links. Connections that
-// are reset or go silent are none.
+// disturbsLink reports whether a fault is one of a link of an endpoint or a process.
+// Connections that are reset or go silent are none.
 func (k Kind) disturbsLink() bool {
 	switch k {
 	case FaultDelay, FaultHoldRequests, FaultHoldAnswers, FaultRefuse:
 		return true
 	}
+	_, link := storeMode(k)
+	return link
+}
+
+// disturbsStore reports whether a fault is one of the store for all processes.
+func (k Kind) disturbsStore() bool {
+	switch k {
+	case FaultStoreDown, FaultStoreSilent, FaultStoreSlow, FaultStoreLossy, FaultRestoreStore:
+		return true
+	}
 	return false
 }
 
--- a/internal/proof/soak/plan.go
+++ b/internal/proof/soak/plan.go
@@ -81,12 +81,15 @@
 	targetChange // a change of the configuration: a route to move, or a key to revoke
 )
 
-// kinds lists the faults with their targets and their relative frequencies.
-var kinds = []struct {
+// kindInfo is a kind of fault with its target and its relative frequency.
+type kindInfo struct {
 	kind       Kind
 	targetKind targetKind
 	weight     int
-}{
+}
+
+// kinds lists the faults.
+var kinds = []kindInfo{
 	{FaultKill, targetProcess, 4},
 	{FaultTerminate, targetProcess, 4},
 	{FaultPause, targetProcess, 4},
@@ -234,6 +237,7 @@
 	maxDuration  = 4 * time.Second
 	seriesLength = 3 // faults of the same kind in a series
 	seriesOdds   = 6 // one fault in this many begins a series
+	calmStep     = 3
 
 	// A sound endpoint may be silent for a second or so.
 	minSilence = 800 * time.Millisecond
@@ -291,9 +295,14 @@
 }
 
 // Plan generates the faults of a run. The same seed, shape and length give the
-// same plan. Faults may overlap, and some occur in series.
+// same plan. Faults may overlap, and some occur in series. One seed in calmStep has no
+// faults of links nor of the store, which excuse old weights.
 func Plan(seed uint64, s Shape, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 0))
+	kinds := slices.Clone(kinds)
+	if seed%calmStep == 0 {
+		kinds = slices.DeleteFunc(kinds, func(k kindInfo) bool { return k.kind.disturbsLink() || k.kind.disturbsStore() })
+	}
 	total := 0
 	for _, k := range kinds {
 		total += k.weight
