process/gateway: log what callers send before their answers, and withdrawn requests

The logs can't tell whether a caller that left had sent anything after its request, nor when an entry closed the connection to the endpoint of such a caller. Both are logged now, with one line per request and attempt: "caller sent more before its answer" and "connection to the endpoint closed"; "caller disconnected" has the field "early". No logic changes.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -208,6 +208,7 @@
 	c := a.call
 	e := a.reservation.Endpoint()
 	if errors.Is(ctx.Err(), context.Canceled) {
+		c.log.Info("connection to the endpoint closed", "endpoint", e.ID(), "after", time.Since(a.sent), "events", a.events)
 		return update{result: maybeRun, outcome: dispatch.OutcomeCancelled}
 	}
 	var unsent *fulmardeal.UnsentError
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -391,6 +391,7 @@
 func (g *Gateway) server() *http.Server {
 	return &http.Server{
 		Handler:           g,
+		ConnContext:       withCallerConn,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: placeholderHeaderTimeout,
 		IdleTimeout:       placeholderIdleTimeout,
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -46,6 +46,7 @@
 	deadline    time.Time
 	fingerprint uint64 // hash of the request, equal when the caller retries it
 	writer      http.ResponseWriter
+	caller      *callerConn // nil if the server's listener isn't a callerListener
 
 	queueTime   time.Duration     // total time spent waiting for an endpoint, over all attempts
 	tried       []string          // ids of endpoints not to be tried again
@@ -67,9 +68,10 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{gateway: g, received: received, writer: w, metadata: g.codec.ReadRequestMetadata(r.Header)}
+	c := &call{gateway: g, received: received, writer: w, caller: callerConnOf(r), metadata: g.codec.ReadRequestMetadata(r.Header)}
 	c.log = g.log.With("id", c.metadata.AttemptID)
 	defer c.logPanic()
+	defer c.logEarly()
 	if !c.admit(r) {
 		discardBody(w, r)
 		return
@@ -277,7 +279,7 @@
 	if len(c.attempts) > 0 {
 		endpoint = c.attempts[0].reservation.Endpoint().ID()
 	}
-	c.log.Info("caller disconnected", "endpoint", endpoint, "after", time.Since(c.received), "events", c.progress.events, "leaving", c.gateway.leaving.Load())
+	c.log.Info("caller disconnected", "endpoint", endpoint, "after", time.Since(c.received), "events", c.progress.events, "early", c.caller.sentEarly(), "leaving", c.gateway.leaving.Load())
 }
 
 // timeUsed returns how much of the request's time has passed, from 0 to 1, with two
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -109,6 +109,7 @@
 	*net.TCPConn
 	conns *callerConns
 	used  atomic.Bool // whether the caller has sent anything
+	early atomic.Bool // whether the caller has sent anything after a request, before its answer
 
 	mu        sync.Mutex
 	limits    timeLimits // the longest ones that were in force since the connection was opened
@@ -122,9 +123,12 @@
 }
 
 // Read reads what the caller sends. The first byte starts the time for the header of
-// the first request.
+// the first request. net/http reads one byte while a request is handled.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	if n == 1 && len(p) == 1 {
+		c.early.Store(true)
+	}
 	if n > 0 && c.used.CompareAndSwap(false, true) {
 		if err := c.SetReadDeadline(time.Now().Add(placeholderHeaderTimeout)); err != nil {
 			return n, err
