process/gateway: break the connection of a caller that has left

A caller that had closed only its side of the connection and went on reading got "200 OK" with an empty body on a plain route, and the end of a stream that was still going on. No endpoint had given either answer.

The close of one side ends the request's context, as a whole close does, and the handler returned. net/http completes the answer of a handler that returns: an empty one if nothing was written, the last chunk otherwise.

The handler now aborts in each place where it finds that the caller has left, including after an attempt that ended for this reason and was taken for "time is up" (504). A connection that is closed altogether can't tell the difference.

--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -84,7 +84,7 @@
 }
 
 // logPanic logs a panic of the handler, which makes net/http close the caller's
-// connection. An abort by giveUp has been logged already.
+// connection. An abort by giveUp or abortDisconnected has been logged already.
 func (c *call) logPanic() {
 	switch v := recover(); v {
 	case nil:
@@ -220,8 +220,7 @@
 // handleReserveError handles a request for which no endpoint could be reserved.
 func (c *call) handleReserveError(ctx context.Context, err error) {
 	if ctx.Err() != nil && !timeIsUp(ctx) {
-		c.logDisconnected()
-		return
+		c.abortDisconnected()
 	}
 	var refused *dispatch.RefusedError
 	if !errors.As(err, &refused) {
@@ -239,8 +238,7 @@
 // handleHeldError handles a request that is kept from endpoints because of its parts.
 func (c *call) handleHeldError(ctx context.Context, held *quarantine.HeldError) {
 	if ctx.Err() != nil && !timeIsUp(ctx) {
-		c.logDisconnected()
-		return
+		c.abortDisconnected()
 	}
 	c.gateway.stats.count(string(held.Reason), c.service)
 	if c.runs > 0 || c.progress.started {
@@ -254,6 +252,9 @@
 // giveUp ends the request with the best response that there is. A request that
 // may have run is never reported as not run.
 func (c *call) giveUp(ctx context.Context, reason string) {
+	if ctx.Err() != nil && !timeIsUp(ctx) {
+		c.abortDisconnected()
+	}
 	c.log.Warn("given up", "reason", reason, "runs", c.runs, "sends", c.sends, "begun", c.progress.started, "events", c.progress.events, "version", c.version,
 		"used", c.timeUsed(), "configured", c.gateway.sinceConfiguration())
 	switch {
@@ -272,14 +273,17 @@
 	}
 }
 
-// logDisconnected logs that the caller has closed its connection, or that the entry has
-// closed it while shutting down. The endpoint is empty while none has been selected.
-func (c *call) logDisconnected() {
+// abortDisconnected ends the request because the caller has closed its connection, or the
+// entry has closed it while shutting down. It breaks the connection: a caller that has closed
+// only its side may still read, and net/http would complete the answer. The endpoint in the
+// log is empty while none has been selected.
+func (c *call) abortDisconnected() {
 	endpoint := ""
 	if len(c.attempts) > 0 {
 		endpoint = c.attempts[0].reservation.Endpoint().ID()
 	}
 	c.log.Info("caller disconnected", "endpoint", endpoint, "after", time.Since(c.received), "events", c.progress.events, "early", c.caller.sentEarly(), "leaving", c.gateway.leaving.Load())
+	panic(http.ErrAbortHandler)
 }
 
 // timeUsed returns how much of the request's time has passed, from 0 to 1, with two
--- a/internal/process/gateway/limits_test.go
+++ b/internal/process/gateway/limits_test.go
@@ -33,9 +33,12 @@
 }
 
 // header returns the header of a request with additional fields.
-func (c *connection) header(fields string) string {
+func (c *connection) header(fields string) string { return c.headerOf("/order/", fields) }
+
+// headerOf returns the header of a request for the given path.
+func (c *connection) headerOf(path, fields string) string {
 	c.calls++
-	return fmt.Sprintf("POST /order/ HTTP/1.1\r\nHost: h\r\nAuthorization: Token k1\r\nX-Fulmardeal-Attempt-Id: %p-%d\r\nX-Fulmardeal-Deadline-Ms: 10000\r\nContent-Length: 4\r\n%s\r\n", c, c.calls, fields)
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Token k1\r\nX-Fulmardeal-Attempt-Id: %p-%d\r\nX-Fulmardeal-Deadline-Ms: 10000\r\nContent-Length: 4\r\n%s\r\n", path, c, c.calls, fields)
 }
 
 // send sends the parts of a request with a pause between two of them.
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -51,8 +51,7 @@
 				c.giveUp(ctx, "time is up")
 				return
 			}
-			c.logDisconnected()
-			return
+			c.abortDisconnected()
 		}
 	}
 }
@@ -193,8 +192,7 @@
 		c.cancelOthers(u.attempt)
 		u.attempt.silent = false
 		if !c.writeEvents(u) {
-			c.logDisconnected()
-			return true
+			c.abortDisconnected()
 		}
 		c.silenceTimer.Reset(c.silenceTimeout()) // afterwards, because a slow caller delays the write
 		return false
