process/gateway: a caller that has sent more gets its last answer whole

A caller that had sent something after its request, such as a line end, lost the rest of an answer that ended the connection: 109349 bytes of 2 MB came, then a reset.

A close with unread bytes in the receive buffer resets the connection, and the reset discards what the other host hasn't read yet. net/http reads one byte of what comes early and closes the connection after an answer with Connection: close, as each answer has while an entry shuts down.

What has arrived early is now read before the close, without waiting, up to 256 KB.

--- a/internal/process/gateway/caller.go
+++ b/internal/process/gateway/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"syscall"
 )
 
 // callerConnKey is the key of a callerConn in the contexts of its requests.
@@ -29,7 +30,33 @@
 // one, before the answer.
 func (c *call) logEarly() {
 	if c.caller.sentEarly() {
-		c.caller.early.Store(false)
 		c.log.Info("caller sent more before its answer", "events", c.progress.events, "sends", c.sends)
 	}
 }
+
+// Limits on what is read from a connection before it is closed.
+const (
+	maxUnreadBytes  = 256 << 10
+	unreadReadBytes = 4 << 10 // per call
+)
+
+// discardUnread reads what the caller has sent too early. A close with unread bytes would
+// reset the connection, and the caller might lose the answer.
+func (c *callerConn) discardUnread() {
+	if !c.early.Load() {
+		return
+	}
+	raw, err := c.TCPConn.SyscallConn()
+	if err != nil {
+		return
+	}
+	buf := make([]byte, unreadReadBytes)
+	// A failure means that the connection has been closed.
+	_ = raw.Control(func(fd uintptr) {
+		for range maxUnreadBytes / unreadReadBytes {
+			if n, err := syscall.Read(int(fd), buf); n <= 0 || err != nil {
+				return
+			}
+		}
+	})
+}
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -119,6 +119,7 @@
 // Close closes the connection.
 func (c *callerConn) Close() error {
 	c.conns.remove(c)
+	c.discardUnread()
 	return c.TCPConn.Close()
 }
 
@@ -126,8 +127,8 @@
 // the first request. net/http reads one byte while a request is handled.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n == 1 && len(p) == 1 {
-		c.early.Store(true)
+	if n > 0 {
+		c.early.Store(n == 1 && len(p) == 1)
 	}
 	if n > 0 && c.used.CompareAndSwap(false, true) {
 		if err := c.SetReadDeadline(time.Now().Add(placeholderHeaderTimeout)); err != nil {
--- a/internal/process/gateway/limits_test.go
+++ b/internal/process/gateway/limits_test.go
@@ -55,18 +55,40 @@
 // answer returns the status of the next answer and whether it ends the connection, or 0
 // if the connection ends before it.
 func (c *connection) answer() (status int, last bool) {
+	c.t.Helper()
+	response, _ := c.read()
+	if response == nil {
+		return 0, true
+	}
+	return response.StatusCode, response.Close
+}
+
+// answerBody returns the status and the body of the next answer, or 0 if the connection
+// ends before its end.
+func (c *connection) answerBody() (status int, body string) {
+	c.t.Helper()
+	response, body := c.read()
+	if response == nil {
+		return 0, body
+	}
+	return response.StatusCode, body
+}
+
+// read reads the next answer. It returns no answer if the connection ends before its end.
+func (c *connection) read() (*http.Response, string) {
 	c.t.Helper()
 	if err := c.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
 		c.t.Fatal(err)
 	}
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		return 0, true
+		return nil, ""
 	}
-	if _, err := io.ReadAll(response.Body); err != nil {
-		return 0, true
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, string(body)
 	}
-	return response.StatusCode, response.Close
+	return response, string(body)
 }
 
 // call sends a request and returns the status of its answer.
