process/gateway: notice that a caller leaves, whatever it has sent before

Requests ran on at endpoints to their end after their callers had closed their connections, if a caller had sent anything after its request: a line end, its next request, a single byte. The same request was also sent on from the queue, after a dial, a refusal, a crash check or the wait for a suspect part, although its caller had left.

While a handler runs, net/http reads one byte from the connection, and cancels the request's context if that fails. Once the byte has come it reads no further, and nobody learns of the close. net/http documents this as the price of pipelining.

callerConn now takes that read, which is the one of a single byte that directly follows the removal of the read deadline, and answers it with an error when the other side has closed: it waits on the socket for POLLRDHUP and reads nothing. What comes early stays in the socket's receive buffer, so that it costs no memory here, and net/http reads it after the answer. A buffer of our own was the alternative; it would have had to be bounded, and would have been full where the socket's is not. Nothing is polled at intervals: the runtime's poller is edge-triggered, so each arrival ends the wait.

TestReadsOfOneByte shows that the other reads of one byte, of a line that fills net/http's buffer but for one byte, are not taken for that read: without the condition on the deadline, two of its cases fail. If net/http's read changes, TestRequestEndsWithItsCaller fails.

Not covered: a close behind more than the receive window takes doesn't reach this host before some of it is read.

--- a/internal/process/gateway/caller.go
+++ b/internal/process/gateway/caller.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // callerConnKey is the key of a callerConn in the contexts of its requests.
@@ -34,6 +38,44 @@
 	}
 }
 
+// awaitClose waits until the caller has closed its connection, or its side of it, or until
+// the read deadline. It never returns nil, and leaves what the caller sends in the socket's
+// receive buffer. A close behind more than fits there doesn't reach this host before some of
+// it is read; a reset does.
+func (c *callerConn) awaitClose() error {
+	raw, err := c.TCPConn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	// The runtime polls sockets edge-triggered, so that whatever arrives next ends the wait
+	// although the earlier bytes are still there.
+	err = raw.Read(func(fd uintptr) bool {
+		unread, closed := socketState(fd)
+		if unread && !closed {
+			c.early.Store(true)
+		}
+		return closed
+	})
+	if err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// socketState reports whether a socket has unread bytes, and whether the other host has
+// closed the connection or its side of it.
+func socketState(fd uintptr) (unread, closed bool) {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+	for {
+		_, err := unix.Poll(fds, 0)
+		if errors.Is(err, syscall.EINTR) {
+			continue
+		}
+		events := fds[0].Revents
+		return events&unix.POLLIN != 0, events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}
+}
+
 // Limits on what is read from a connection before it is closed.
 const (
 	maxUnreadBytes  = 256 << 10
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -123,6 +123,7 @@
 	bounds   fulmardeal.Bounds
 	codec    gateway.Codec
 	log      slog.Handler
+	listener func(net.Listener) net.Listener // wraps the listener for callers, if set
 }
 
 // endpoint starts an endpoint of a service, registers it and returns its address. The
@@ -217,6 +218,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if w.listener != nil {
+		g.WrapCallerListener(w.listener)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	w.stop = cancel
 	go func() { w.done <- g.Run(ctx) }()
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -110,6 +110,7 @@
 	conns *callerConns
 	used  atomic.Bool // whether the caller has sent anything
 	early atomic.Bool // whether the caller has sent anything after a request, before its answer
+	watch atomic.Bool // whether a read of one byte is net/http's wait for the caller's close
 
 	mu        sync.Mutex
 	limits    timeLimits // the longest ones that were in force since the connection was opened
@@ -124,11 +125,17 @@
 }
 
 // Read reads what the caller sends. The first byte starts the time for the header of
-// the first request. net/http reads one byte while a request is handled.
+// the first request.
+//
+// While a request is handled, net/http removes the read deadline and reads one byte to learn
+// when the caller leaves. If it got one, it would no longer notice the close.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.watch.Swap(false) && len(p) == 1 {
+		return 0, c.awaitClose()
+	}
 	n, err := c.TCPConn.Read(p)
 	if n > 0 {
-		c.early.Store(n == 1 && len(p) == 1)
+		c.early.Store(false)
 	}
 	if n > 0 && c.used.CompareAndSwap(false, true) {
 		if err := c.SetReadDeadline(time.Now().Add(placeholderHeaderTimeout)); err != nil {
@@ -144,6 +151,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idleSince = time.Time{}
+	c.watch.Store(t.IsZero())
 	left := time.Until(t)
 	if t.IsZero() || left < placeholderIdleTimeout-placeholderTolerance {
 		return c.TCPConn.SetReadDeadline(t)
