process/gateway, traffic/forward: look for a caller's leaving before the write

Requests of callers that had left before an entry read them, as in a backlog, were sent to endpoints all the same.

The close is noticed in another goroutine than the one that sends, and nothing looked at the context between the choice of a connection and the write: a kept connection needs no dial, which was the only step that did. Closing the connection when the context has ended runs in a goroutine of its own too, and the write was mostly first.

Send now looks at the context last before the write, and before that calls Request.BeforeWrite, with which a gateway looks at the caller's socket: it doesn't depend on when another goroutine runs. A request that is not written is an UnsentError.

TestEndedContextSendsNothing doesn't cover a context that ends during the write; then the connection is closed as before.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -207,12 +207,12 @@
 func (a *attempt) failure(ctx context.Context, err error, lastHeard time.Time, started bool) update {
 	c := a.call
 	e := a.reservation.Endpoint()
+	var unsent *fulmardeal.UnsentError
+	isUnsent := errors.As(err, &unsent)
 	if errors.Is(ctx.Err(), context.Canceled) {
-		c.log.Info("connection to the endpoint closed", "endpoint", e.ID(), "after", time.Since(a.sent), "events", a.events)
+		c.log.Info("connection to the endpoint closed", "endpoint", e.ID(), "unsent", isUnsent, "after", time.Since(a.sent), "events", a.events)
 		return update{result: maybeRun, outcome: dispatch.OutcomeCancelled}
 	}
-	var unsent *fulmardeal.UnsentError
-	isUnsent := errors.As(err, &unsent)
 	crashed := !isUnsent && !a.answering() && ctx.Err() == nil && c.gateway.crashes.crashed(ctx, c.gateway.pool, c.log, a.reservation)
 	point := "answer"
 	if started || a.resumed {
--- a/internal/process/gateway/caller.go
+++ b/internal/process/gateway/caller.go
@@ -30,6 +30,34 @@
 // answer.
 func (c *callerConn) sentEarly() bool { return c != nil && c.early.Load() }
 
+// hasLeft reports whether the caller has closed the connection or its side of it.
+func (c *callerConn) hasLeft() bool {
+	if c == nil {
+		return false
+	}
+	raw, err := c.TCPConn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) { _, closed = socketState(fd) })
+	return closed || err != nil
+}
+
+// errCallerLeft is the error for a request that wasn't sent because its caller had left.
+var errCallerLeft = errors.New("the caller has left")
+
+// checkCaller ends the request and returns an error if the caller has left. net/http learns
+// of it in another goroutine, which may be late, above all if the connection was closed
+// before the request was read.
+func (c *call) checkCaller() error {
+	if !c.caller.hasLeft() {
+		return nil
+	}
+	c.leave()
+	return errCallerLeft
+}
+
 // logEarly logs that the caller has sent something after its request, such as its next
 // one, before the answer.
 func (c *call) logEarly() {
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -46,7 +46,8 @@
 	deadline    time.Time
 	fingerprint uint64 // hash of the request, equal when the caller retries it
 	writer      http.ResponseWriter
-	caller      *callerConn // nil if the server's listener isn't a callerListener
+	caller      *callerConn        // nil if the server's listener isn't a callerListener
+	leave       context.CancelFunc // ends the request because its caller has left
 
 	queueTime   time.Duration     // total time spent waiting for an endpoint, over all attempts
 	tried       []string          // ids of endpoints not to be tried again
@@ -78,6 +79,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	c.leave = cancel
 	g.retryBudget(c.service).Deposit()
 	defer c.freeBuffered()
 	c.run(ctx)
--- a/internal/traffic/forward/exchange.go
+++ b/internal/traffic/forward/exchange.go
@@ -10,6 +10,8 @@
 	"net/textproto"
 	"strconv"
 	"time"
+
+	"fulmardeal"
 )
 
 // maxInlineBodyBytes is the maximum size of a body that is written together with
@@ -24,6 +26,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+
+	// BeforeWrite is called last before the request is written, if it isn't nil. The
+	// request isn't sent if it returns an error.
+	BeforeWrite func() error
 }
 
 // LostError reports that a request was sent but its response was not received
@@ -70,8 +76,12 @@
 	}
 	x := &Exchange{pool: p, address: address, conn: c, bodyWritten: make(chan error, 1)}
 	x.stopAfterFunc = context.AfterFunc(ctx, func() { c.Close() })
-	if err := x.start(r, headerBy); err != nil {
+	if err := x.start(ctx, r, headerBy); err != nil {
 		x.Close()
+		var unsent *fulmardeal.UnsentError
+		if errors.As(err, &unsent) {
+			return nil, unsent
+		}
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -80,9 +90,17 @@
 	return x, nil
 }
 
-func (x *Exchange) start(r Request, headerBy time.Time) error {
+func (x *Exchange) start(ctx context.Context, r Request, headerBy time.Time) error {
 	var header bytes.Buffer
 	writeHeader(&header, r)
+	if r.BeforeWrite != nil {
+		if err := r.BeforeWrite(); err != nil {
+			return &fulmardeal.UnsentError{Address: x.address, Cause: err}
+		}
+	}
+	if err := ctx.Err(); err != nil { // the connection is closed concurrently
+		return &fulmardeal.UnsentError{Address: x.address, Cause: err}
+	}
 	if len(r.Body) <= maxInlineBodyBytes {
 		header.Write(r.Body)
 		if _, err := x.conn.Write(header.Bytes()); err != nil {
