traffic/forward: reset the connection of a withdrawn request

An endpoint got the whole of a request that had been withdrawn before it had received it, and ran it; an endpoint that looks at its connection only when it writes learned of the withdrawal at its second write.

A close in order sends what is left in the socket's send buffer first, and the end after it, behind whatever holds up the path. The first write to a connection whose other side is closed succeeds.

The connection is reset now when the context of an exchange ends: its caller has left, its time is over, it is withdrawn, or another attempt has answered. What has not left the host is dropped. A body of 32 MB that is still being written was cut before too, and is.

A reset is sent once, and isn't repeated if the path loses it; the end of a close in order is. An endpoint that misses it learns when it writes.

--- a/internal/traffic/forward/exchange.go
+++ b/internal/traffic/forward/exchange.go
@@ -55,7 +55,7 @@
 	pool    *Pool
 	address string
 	conn    *conn
-	// stopAfterFunc stops the context from closing conn when it is done. It
+	// stopAfterFunc stops the context from resetting conn when it is done. It
 	// returns false if the context was done before.
 	stopAfterFunc func() bool
 	// bodyWritten receives nil or the error when the write of the request body has
@@ -75,7 +75,7 @@
 		return nil, err
 	}
 	x := &Exchange{pool: p, address: address, conn: c, bodyWritten: make(chan error, 1)}
-	x.stopAfterFunc = context.AfterFunc(ctx, func() { c.Close() })
+	x.stopAfterFunc = context.AfterFunc(ctx, c.reset)
 	if err := x.start(ctx, r, headerBy); err != nil {
 		x.Close()
 		var unsent *fulmardeal.UnsentError
@@ -245,16 +245,20 @@
 
 // Release ends the exchange and returns the connection to the pool if the
 // response was read completely, no other bytes have arrived, and idleTimeout
-// isn't negative; otherwise it closes the connection. idleTimeout is the
-// endpoint's keep-alive timeout, or 0 if the endpoint didn't announce one.
+// isn't negative; otherwise it closes the connection, or resets it if the
+// context is done. idleTimeout is the endpoint's keep-alive timeout, or 0 if the
+// endpoint didn't announce one.
 func (x *Exchange) Release(idleTimeout time.Duration) {
 	if x.conn == nil {
 		return
 	}
 	c := x.conn
 	x.conn = nil
-	connOpen := x.stopAfterFunc()
-	if !connOpen || idleTimeout < 0 || !x.reusable(c) || c.SetReadDeadline(time.Time{}) != nil {
+	if !x.stopAfterFunc() {
+		c.reset()
+		return
+	}
+	if idleTimeout < 0 || !x.reusable(c) || c.SetReadDeadline(time.Time{}) != nil {
 		c.Close()
 		return
 	}
--- a/internal/traffic/forward/pool.go
+++ b/internal/traffic/forward/pool.go
@@ -208,6 +208,15 @@
 	delete(p.idle, address)
 }
 
+// reset ends a connection whose request is withdrawn. Unlike a close, it drops what the
+// endpoint has not received yet, and fails the endpoint's next write.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails if the connection has been closed
+	}
+	c.Close()
+}
+
 // usable reports whether the endpoint has neither closed an idle connection nor
 // sent unsolicited bytes on it.
 func (c *conn) usable() bool {
