process/entry: end the requests of callers that have left

Requests of our own interface ran on at their endpoints after their callers had closed their connections: plain requests to their end or deadline.

fasthttp doesn't read from a connection while a handler runs, and nobody ended the context of a request whose caller had left, though Router.Do asks for it.

TestRequestEndsWithItsCaller of process/local before, for a close and a reset after nothing, one byte, a line end and a request:

0 bytes sent before the close, reset false: still running 2.98s after it

and the same in all 8 cases (2.973 to 2.981 s). The entry now waits for the close beside the handler, as the gateway does; the wait is in link/connection for both. It ends before fasthttp reads on, with the handler or with the stream that goes on after it. A request with an idempotency key isn't watched: its caller may come back for the answer. Orders without one go on at the agent, which cancels only what may be repeated.

After: all 8 pass, and requests that are sent early on a kept connection are answered (TestKeptConnectionIsReadOn). Streams were not run.

The tests of the packages entry, request, connection, local and forward pass. Of those of the gateway, run beside them, one failed:

TestResponseEndsWithConnection//order/_none_body_reset_two_502 status 503, want 502: "none\n" (three times)

It is not traced.

--- a/internal/process/entry/handle.go
+++ b/internal/process/entry/handle.go
@@ -82,14 +82,28 @@
 		return
 	}
 	work, cancel := context.WithTimeout(context.Background(), limit)
+	end := cancel
+	if q.Key == "" { // a caller may come back for the response to a request with a key
+		stop := watchCaller(ctx.Conn(), cancel)
+		end = func() {
+			stop()
+			cancel()
+		}
+	}
+	replied := false
+	defer func() {
+		if !replied {
+			end()
+		}
+	}()
 	reply, err := e.router.Do(work, q)
 	if err != nil {
-		cancel()
 		e.refuse(ctx, err)
 		return
 	}
 	e.stats.recordFirstByte(time.Since(started))
-	e.writeReply(ctx, work, cancel, reply)
+	replied = true
+	e.writeReply(ctx, work, end, reply)
 }
 
 func (e *Entry) handleReadiness(ctx *fasthttp.RequestCtx) {
--- a/internal/process/gateway/caller.go
+++ b/internal/process/gateway/caller.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"syscall"
 
-	"golang.org/x/sys/unix"
+	"fulmardeal/internal/link/connection"
 )
 
 // callerConnKey is the key of a callerConn in the contexts of its requests.
@@ -31,18 +30,7 @@
 func (c *callerConn) sentEarly() bool { return c != nil && c.early.Load() }
 
 // hasLeft reports whether the caller has closed the connection or its side of it.
-func (c *callerConn) hasLeft() bool {
-	if c == nil {
-		return false
-	}
-	raw, err := c.TCPConn.SyscallConn()
-	if err != nil {
-		return true
-	}
-	closed := false
-	err = raw.Control(func(fd uintptr) { _, closed = socketState(fd) })
-	return closed || err != nil
-}
+func (c *callerConn) hasLeft() bool { return c != nil && connection.HungUp(c.TCPConn) }
 
 // errCallerLeft is the error for a request that wasn't sent because its caller had left.
 var errCallerLeft = errors.New("the caller has left")
@@ -67,41 +55,9 @@
 }
 
 // awaitClose waits until the caller has closed its connection, or its side of it, or until
-// the read deadline. It never returns nil, and leaves what the caller sends in the socket's
-// receive buffer. A close behind more than fits there doesn't reach this host before some of
-// it is read; a reset does.
+// the read deadline. It never returns nil, and reads nothing.
 func (c *callerConn) awaitClose() error {
-	raw, err := c.TCPConn.SyscallConn()
-	if err != nil {
-		return err
-	}
-	// The runtime polls sockets edge-triggered, so that whatever arrives next ends the wait
-	// although the earlier bytes are still there.
-	err = raw.Read(func(fd uintptr) bool {
-		unread, closed := socketState(fd)
-		if unread && !closed {
-			c.early.Store(true)
-		}
-		return closed
-	})
-	if err != nil {
-		return err
-	}
-	return io.EOF
-}
-
-// socketState reports whether a socket has unread bytes, and whether the other host has
-// closed the connection or its side of it.
-func socketState(fd uintptr) (unread, closed bool) {
-	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
-	for {
-		_, err := unix.Poll(fds, 0)
-		if errors.Is(err, syscall.EINTR) {
-			continue
-		}
-		events := fds[0].Revents
-		return events&unix.POLLIN != 0, events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	}
+	return connection.AwaitHangUp(c.TCPConn, func() { c.early.Store(true) })
 }
 
 // Limits on what is read from a connection before it is closed.
