--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -212,7 +212,10 @@
 func (a *attempt) failure(ctx context.Context, err error, lastHeard time.Time, started bool) update {
 	c := a.call
 	e := a.reservation.Endpoint()
+	var unsent *fulmardeal.UnsentError
+	isUnsent := errors.As(err, &unsent)
 	if errors.Is(ctx.Err(), context.Canceled) {
+		c.log.Info("connection to the endpoint closed", "endpoint", e.ID(), "unsent", isUnsent, "after", time.Since(a.sent), "events", a.events)
 		return update{result: maybeRun, outcome: dispatch.OutcomeCancelled}
 	}
 	var withheld *forward.WithheldError
@@ -220,8 +223,6 @@
 		c.log.Info("request withheld from the endpoint", "endpoint", e.ID(), "weights", a.reservation.Weights(), "err", withheld.Cause)
 		return update{result: notRun, outcome: dispatch.OutcomeCancelled}
 	}
-	var unsent *fulmardeal.UnsentError
-	isUnsent := errors.As(err, &unsent)
 	crashed := !isUnsent && !a.answering() && ctx.Err() == nil && c.gateway.crashes.crashed(ctx, c.gateway.pool, c.log, a.reservation)
 	point := "answer"
 	if started || a.resumed {
@@ -239,10 +240,13 @@
 	return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 }
 
-// checkStart returns an error if the endpoint's weights may not be used any longer. It is
-// called just before the request is sent: the endpoint may have been selected, and its
-// connection opened, some time ago.
-func (a *attempt) checkStart() error {
+// checkSend returns an error if the caller has left or the endpoint's weights may not be
+// used any longer. It is called just before the request is sent: the endpoint may have been
+// selected, and its connection opened, some time ago.
+func (a *attempt) checkSend() error {
+	if err := a.call.checkCaller(); err != nil {
+		return err
+	}
 	if by := a.reservation.StartBy(); !by.IsZero() && !time.Now().Before(by) {
 		return &oldWeightsError{weights: a.reservation.Weights(), late: time.Since(by)}
 	}
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -51,8 +51,7 @@
 				c.giveUp(ctx, "time is up")
 				return
 			}
-			c.logDisconnected()
-			return
+			c.abortDisconnected()
 		}
 	}
 }
@@ -144,7 +143,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	exchange, withdraw := context.WithCancel(ctx)
 	a := &attempt{call: c, reservation: reservation, permit: permit, request: request, resumed: c.progress.started, cancel: cancel, withdraw: withdraw}
-	a.request.CheckSend = a.checkStart
+	a.request.CheckSend = a.checkSend
 	c.attempts = append(c.attempts, a)
 	c.sends++
 	c.silenceTimer.Reset(c.silenceTimeout())
@@ -195,8 +194,7 @@
 		c.cancelOthers(u.attempt)
 		u.attempt.silent = false
 		if !c.writeEvents(u) {
-			c.logDisconnected()
-			return true
+			c.abortDisconnected()
 		}
 		c.silenceTimer.Reset(c.silenceTimeout()) // afterwards, because a slow caller delays the write
 		return false
--- a/internal/traffic/forward/exchange.go
+++ b/internal/traffic/forward/exchange.go
@@ -10,6 +10,8 @@
 	"net/textproto"
 	"strconv"
 	"time"
+
+	"fulmardeal"
 )
 
 // maxInlineBodyBytes is the maximum size of a body that is written together with
@@ -30,15 +32,13 @@
 	CheckSend func() error
 }
 
-// WithheldError reports that a request was not sent because its CheckSend failed.
+// WithheldError is the cause of a *fulmardeal.UnsentError if the request's CheckSend
+// failed.
 type WithheldError struct {
-	Address string
-	Cause   error
+	Cause error
 }
 
-func (e *WithheldError) Error() string {
-	return fmt.Sprintf("request to endpoint %s withheld: %v", e.Address, e.Cause)
-}
+func (e *WithheldError) Error() string { return fmt.Sprintf("request withheld: %v", e.Cause) }
 
 func (e *WithheldError) Unwrap() error { return e.Cause }
 
@@ -65,7 +65,7 @@
 	pool    *Pool
 	address string
 	conn    *conn
-	// stopAfterFunc stops the context from closing conn when it is done. It
+	// stopAfterFunc stops the context from resetting conn when it is done. It
 	// returns false if the context was done before.
 	stopAfterFunc func() bool
 	// bodyWritten receives nil or the error when the write of the request body has
@@ -78,7 +78,7 @@
 // Send sends a request and waits for the header of the response. It fails when
 // ctx is done or when the header has not arrived by the given time, if that isn't
 // zero. A connection that was idle for longer than maxIdleTime isn't reused. The
-// error is a *fulmardeal.UnsentError, a *WithheldError or a *LostError.
+// error is a *fulmardeal.UnsentError or a *LostError.
 func (p *Pool) Send(ctx context.Context, address string, r Request, maxIdleTime time.Duration, headerBy time.Time) (*Exchange, error) {
 	c, err := p.get(ctx, address, maxIdleTime)
 	if err != nil {
@@ -87,13 +87,17 @@
 	if r.CheckSend != nil {
 		if err := r.CheckSend(); err != nil {
 			p.put(address, c, c.idleTimeout)
-			return nil, &WithheldError{Address: address, Cause: err}
+			return nil, &fulmardeal.UnsentError{Address: address, Cause: &WithheldError{Cause: err}}
 		}
 	}
 	x := &Exchange{pool: p, address: address, conn: c, bodyWritten: make(chan error, 1)}
-	x.stopAfterFunc = context.AfterFunc(ctx, func() { c.Close() })
-	if err := x.start(r, headerBy); err != nil {
+	x.stopAfterFunc = context.AfterFunc(ctx, c.reset)
+	if err := x.start(ctx, r, headerBy); err != nil {
 		x.Close()
+		var unsent *fulmardeal.UnsentError
+		if errors.As(err, &unsent) {
+			return nil, unsent
+		}
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -102,9 +106,12 @@
 	return x, nil
 }
 
-func (x *Exchange) start(r Request, headerBy time.Time) error {
+func (x *Exchange) start(ctx context.Context, r Request, headerBy time.Time) error {
 	var header bytes.Buffer
 	writeHeader(&header, r)
+	if err := ctx.Err(); err != nil { // the connection is closed concurrently
+		return &fulmardeal.UnsentError{Address: x.address, Cause: err}
+	}
 	if len(r.Body) <= maxInlineBodyBytes {
 		header.Write(r.Body)
 		if _, err := x.conn.Write(header.Bytes()); err != nil {
@@ -249,16 +256,20 @@
 
 // Release ends the exchange and returns the connection to the pool if the
 // response was read completely, no other bytes have arrived, and idleTimeout
-// isn't negative; otherwise it closes the connection. idleTimeout is the
-// endpoint's keep-alive timeout, or 0 if the endpoint didn't announce one.
+// isn't negative; otherwise it closes the connection, or resets it if the
+// context is done. idleTimeout is the endpoint's keep-alive timeout, or 0 if the
+// endpoint didn't announce one.
 func (x *Exchange) Release(idleTimeout time.Duration) {
 	if x.conn == nil {
 		return
 	}
 	c := x.conn
 	x.conn = nil
-	connOpen := x.stopAfterFunc()
-	if !connOpen || idleTimeout < 0 || !x.reusable(c) || c.SetReadDeadline(time.Time{}) != nil {
+	if !x.stopAfterFunc() {
+		c.reset()
+		return
+	}
+	if idleTimeout < 0 || !x.reusable(c) || c.SetReadDeadline(time.Time{}) != nil {
 		c.Close()
 		return
 	}
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -217,9 +217,10 @@
 		r := newRequest("")
 		r.CheckSend = func() error { return refused }
 		_, err := p.Send(t.Context(), address, r, time.Hour, time.Now().Add(time.Second))
+		var unsent *fulmardeal.UnsentError
 		var withheld *WithheldError
-		if !errors.As(err, &withheld) || !errors.Is(err, refused) {
-			t.Errorf("error %v, want *WithheldError", err)
+		if !errors.As(err, &unsent) || !errors.As(err, &withheld) || !errors.Is(err, refused) {
+			t.Errorf("error %v, want *fulmardeal.UnsentError with a *WithheldError", err)
 		}
 	}
 	if got := outcome(p, address); got != `whole "ok" kept` {
