process/gateway: a response without the request's id says nothing about it

The gateway refused responses with another attempt's id but took one with no id for the answer to whatever request was on the connection. A refusal without an id, written while an order ran, let the order run a second time, or left it with a 503; a response without an id but with a signature reached the caller as the answer. Of several ids in one response the first counted.

Ruled out: bytes that are there before the request is written (glued to the answer before, or on the idle connection) close the connection, and a refusal within the answer's head or behind another id was not believed; these cases passed before.

Endpoints repeat the id in all their responses, so a response counts only if it has exactly the request's id; of several different ones, none matches. Otherwise the request may have run: 502, or another try if it may be repeated. A request that came without an id gets the 400 that says so, and its other refusals are not believed.

The test's own endpoint answered a request for another instance without the id, unlike the platform's endpoints; it sends it now, and checks as much as before.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -110,8 +110,8 @@
 	defer x.Close()
 	r := g.codec.ReadResponseMetadata(x.Status(), x.Header())
 	a.applyNotice(r)
-	if r.AttemptID != "" && r.AttemptID != c.metadata.AttemptID {
-		c.log.Warn("response has the id of another attempt", "endpoint", e.ID(), "got", r.AttemptID, "reused", x.Reused())
+	if !c.isAnswer(x.Status(), r) {
+		c.log.Warn("response is not the answer to the request", "endpoint", e.ID(), "got", r.AttemptID, "status", x.Status(), "reused", x.Reused())
 		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 	}
 	switch {
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -129,6 +129,8 @@
 // endpoint checks the headers of each request.
 func (w *testGateway) endpoint(id, service, dataCentre string, serve func(http.ResponseWriter, *http.Request)) (address string) {
 	s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		attempt := r.Header.Get("X-Fulmardeal-Attempt-Id")
+		rw.Header().Set("X-Fulmardeal-Attempt-Id", attempt)
 		if r.Header.Get("X-Fulmardeal-Expect-Instance") != id {
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -136,10 +138,8 @@
 		if r.Header.Get("Authorization") != "" {
 			w.t.Error("the caller's key was forwarded to the endpoint")
 		}
-		attempt := r.Header.Get("X-Fulmardeal-Attempt-Id")
 		n, _ := w.received.LoadOrStore(attempt, new(atomic.Int32))
 		n.(*atomic.Int32).Add(1)
-		rw.Header().Set("X-Fulmardeal-Attempt-Id", attempt)
 		rw.Header().Set("X-Fulmardeal-Response-Stamp", "by-"+id)
 		serve(rw, r)
 	}))
--- /dev/null
+++ b/internal/process/gateway/match.go
@@ -0,0 +1,19 @@
+package gateway
+
+import (
+	"net/http"
+
+	"fulmardeal"
+)
+
+// isAnswer reports whether an endpoint's response is the answer to the caller's request.
+// Endpoints repeat the request's id in their answers, but may write a response that
+// belongs to no request, or to an earlier one. Such a response says nothing about whether
+// this request runs. If the request has no id, its refusals can't be told from others; only
+// the one for the missing id itself, whose status promises the caller nothing, is accepted.
+func (c *call) isAnswer(status int, r fulmardeal.ResponseMetadata) bool {
+	if r.AttemptID != c.metadata.AttemptID {
+		return false
+	}
+	return r.AttemptID != "" || !r.NotRun || status == http.StatusBadRequest
+}
