traffic/forward: a connection carries a request once

All tries of a caller's attempt have the same id. When an endpoint refused an order and got it again on the same connection, its first refusal, written once more while the second try ran, had the right id and was believed: the order was sent a third time and ran twice.

A request now has a trail of the connections that have carried it, and the pool gives it another one. So an id identifies one try on a connection, and what an endpoint writes there for an earlier request has another id.

Closing connections after a refusal would serve as well, but refusals are frequent under load and new connections have a price.

--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -54,6 +54,7 @@
 	buffered    [][]byte          // bodies of endpoints' responses, which are released at the end
 	lastFailure *endpointResponse // last error response of an endpoint, sent to the caller if no attempt succeeds
 	progress    streamProgress    // progress of a streamed response
+	trail       forward.Trail     // connections that have carried the request: all its tries have the same id
 
 	attempts     []*attempt  // attempts in progress, in the order in which they began
 	updates      chan update // what the attempts receive
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -140,6 +140,7 @@
 	}
 	request := c.request
 	request.Header = c.gateway.codec.ForwardHeader(c.request.Header, forwarded)
+	request.Trail = &c.trail
 	ctx, cancel := context.WithCancel(ctx)
 	exchange, withdraw := context.WithCancel(ctx)
 	a := &attempt{call: c, reservation: reservation, permit: permit, request: request, resumed: c.progress.started, cancel: cancel, withdraw: withdraw}
--- a/internal/traffic/forward/exchange.go
+++ b/internal/traffic/forward/exchange.go
@@ -24,6 +24,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	Trail  *Trail // connections that must not carry the request
 }
 
 // LostError reports that a request was sent but its response was not received
@@ -64,7 +65,7 @@
 // zero. A connection that was idle for longer than maxIdleTime isn't reused. The
 // error is a *fulmardeal.UnsentError or a *LostError.
 func (p *Pool) Send(ctx context.Context, address string, r Request, maxIdleTime time.Duration, headerBy time.Time) (*Exchange, error) {
-	c, err := p.get(ctx, address, maxIdleTime)
+	c, err := p.get(ctx, address, maxIdleTime, r.Trail)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/traffic/forward/pool.go
+++ b/internal/traffic/forward/pool.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -129,16 +130,18 @@
 	return p.dialed, p.reused
 }
 
-// get returns an idle connection that was last used at most maxIdleTime ago, or
-// a new connection. The error is a *fulmardeal.UnsentError.
-func (p *Pool) get(ctx context.Context, address string, maxIdleTime time.Duration) (*conn, error) {
+// get returns an idle connection that was last used at most maxIdleTime ago and is not
+// on the trail, or a new connection, and adds it to the trail. The error is a
+// *fulmardeal.UnsentError.
+func (p *Pool) get(ctx context.Context, address string, maxIdleTime time.Duration, trail *Trail) (*conn, error) {
 	for {
-		c := p.take(address, maxIdleTime)
+		c := p.takeOff(address, maxIdleTime, trail)
 		if c == nil {
 			break
 		}
 		if c.usable() {
 			c.reused = true
+			trail.add(c)
 			return c, nil
 		}
 		c.Close()
@@ -151,12 +154,19 @@
 	p.dialed++
 	p.mu.Unlock()
 	l := &headLimiter{Conn: n}
-	return &conn{Conn: n, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}, nil
+	c := &conn{Conn: n, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
+	trail.add(c)
+	return c, nil
 }
 
 // take returns the most recently used idle connection, or nil if there is none
 // or it has been idle for too long.
 func (p *Pool) take(address string, maxIdleTime time.Duration) *conn {
+	return p.takeOff(address, maxIdleTime, nil)
+}
+
+// takeOff is take among the connections that are not on the trail.
+func (p *Pool) takeOff(address string, maxIdleTime time.Duration, trail *Trail) *conn {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -164,18 +174,23 @@
 	if len(list) == 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	if age := now.Sub(c.idleSince); age > c.idleTimeout {
+	i := len(list) - 1
+	if c := list[i]; now.Sub(c.idleSince) > c.idleTimeout {
 		// The other connections have been idle for even longer.
 		for _, x := range list {
 			x.Close()
 		}
 		delete(p.idle, address)
 		return nil
-	} else if age > maxIdleTime {
+	}
+	for i >= 0 && trail.has(list[i]) {
+		i--
+	}
+	if i < 0 || now.Sub(list[i].idleSince) > min(maxIdleTime, list[i].idleTimeout) {
 		return nil
 	}
-	p.idle[address] = list[:len(list)-1]
+	c := list[i]
+	p.idle[address] = slices.Delete(list, i, i+1)
 	p.reused++
 	return c
 }
