process/gateway: pass on 503, 429, 408 and 421 only with their guarantee

To callers these statuses promise that a request has not run and never will. An endpoint says so with a header of its own; with the status alone it may have run the request. The gateway passed such a signed response on as it was, so that the caller of an order that had run sent it again.

TestRepeatedRefusalIsNotBelieved before, four of eight new cases:

order served first same 503 stamp two: status 503 after 1 runs, want 502 after 1 order served first same 429 stamp two: status 429 after 1 runs, want 502 after 1 order served first same 408 stamp two: status 408 after 1 runs, want 502 after 1 once served first same 503 stamp two: status 503 after 1 runs, want 502 after 1

The response now counts as a failure after which the request may have run: 502, or another endpoint for a stream that can be resumed. Idempotent requests are left as they were, as their callers repeat them after any failure, and so are 500 and a refusal with 400 (cases of the test). All pass now.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -128,6 +128,9 @@
 	case !r.Signed && !r.NotRun:
 		c.log.Warn("response has no signature", "endpoint", e.ID(), "status", x.Status())
 		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
+	case !r.NotRun && promisesNotRun(x.Status()) && c.route.Kind != fulmardeal.KindIdempotent:
+		c.log.Warn("endpoint refused the request without a guarantee that it has not run", "endpoint", e.ID(), "status", x.Status())
+		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 	case x.Status()/100 == 2 && c.route.Kind == fulmardeal.KindStream:
 		return a.readStream(ctx, x, r)
 	case a.resumed: // the caller has got a part of a stream: nothing but its rest may follow
--- a/internal/process/gateway/match.go
+++ b/internal/process/gateway/match.go
@@ -17,3 +17,13 @@
 	}
 	return r.AttemptID != "" || !r.NotRun || status == http.StatusBadRequest
 }
+
+// promisesNotRun reports whether a status tells the caller that its request has not run
+// and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
