platform/adapter: take only the response to the call

In our own interface the agent's client of its endpoint took the next response on a kept connection for the answer, whatever call it belonged to. What an endpoint wrote once more reached another caller as its response, or the agent as the endpoint's load. fasthttp doesn't look at an idle connection before it writes a request, and drops what is glued to a response.

A connection now sends no request while input is unread, and the request goes on another connection: nothing of it has been sent. That also keeps requests from connections that the endpoint has closed, after which it was unknown whether they had run. The check is the gateway's, moved to link/connection. An endpoint may repeat the call's id; a response with another one is an error after which the call may have run. The simulated endpoints repeat it.

Left: a response without an id that arrives between the request and its response is taken for it (last line of the test's data).

--- a/fulmardeal.go
+++ b/fulmardeal.go
@@ -122,6 +122,7 @@
 // Answer is the response of an endpoint. The body must be closed; closing it
 // before its end cancels the call.
 type Answer struct {
+	ID     string // ID of the call, if the endpoint has repeated it; otherwise empty
 	Status int
 	Header []Field
 	Body   io.ReadCloser
--- a/internal/platform/adapter/client.go
+++ b/internal/platform/adapter/client.go
@@ -67,7 +67,7 @@
 			if err != nil {
 				return nil, &dialError{cause: err}
 			}
-			return c, nil
+			return &requestConn{Conn: c}, nil
 		},
 	}
 }
@@ -107,7 +107,7 @@
 	req.SetRequestURI(s.baseURL + path)
 	req.SetBodyRaw(body)
 
-	if err := s.client.DoDeadline(req, resp, deadline(ctx)); err != nil {
+	if err := send(ctx, s.client, req, resp); err != nil {
 		return response{}, fmt.Errorf("%s %s: %w", s.name, path, err)
 	}
 	seconds, _ := strconv.Atoi(string(resp.Header.Peek("Retry-After")))
--- a/internal/platform/adapter/endpoint.go
+++ b/internal/platform/adapter/endpoint.go
@@ -17,7 +17,8 @@
 	"fulmardeal"
 )
 
-// Headers of requests from an agent to its endpoint.
+// Headers of requests from an agent to its endpoint. An endpoint may repeat HeaderAttempt
+// in its response; a refusal counts only with it.
 const (
 	HeaderAttempt  = "Fulmardeal-Attempt"
 	HeaderPriority = "Fulmardeal-Priority"
@@ -61,7 +62,7 @@
 	// fasthttp takes no context, so when ctx is cancelled the endpoint is asked
 	// to abort the attempt, which ends the call.
 	stopCancel := context.AfterFunc(ctx, func() { e.cancelDetached(c.ID) })
-	err := e.stream.DoDeadline(req, resp, deadline(ctx))
+	err := send(ctx, e.stream, req, resp)
 	if err != nil {
 		stopCancel()
 		fasthttp.ReleaseResponse(resp)
@@ -70,13 +71,29 @@
 		}
 		return fulmardeal.Answer{}, fmt.Errorf("call %s: %w", c.Path, err)
 	}
-	return e.newAnswer(resp, stopCancel), nil
+	a := e.newAnswer(resp, stopCancel)
+	if a.ID != "" && a.ID != c.ID {
+		a.Body.Close() // and the connection
+		return fulmardeal.Answer{}, &CrossedError{ID: c.ID, Got: a.ID}
+	}
+	return a, nil
+}
+
+// CrossedError reports a response to another call. Whether the endpoint runs this one is
+// unknown.
+type CrossedError struct {
+	ID  string // of the call
+	Got string // ID in the response
+}
+
+func (e *CrossedError) Error() string {
+	return fmt.Sprintf("call %s: response has the id %s", e.ID, e.Got)
 }
 
 func (e *Endpoint) newAnswer(resp *fasthttp.Response, stopCancel func() bool) fulmardeal.Answer {
-	a := fulmardeal.Answer{Status: resp.StatusCode()}
+	a := fulmardeal.Answer{ID: string(resp.Header.Peek(HeaderAttempt)), Status: resp.StatusCode()}
 	for k, v := range resp.Header.All() {
-		if !isHopByHop(string(k)) {
+		if name := string(k); !isHopByHop(name) && name != HeaderAttempt {
 			a.Header = append(a.Header, fulmardeal.Field{Name: string(k), Value: string(v)})
 		}
 	}
--- a/internal/standin/endpoint/engine.go
+++ b/internal/standin/endpoint/engine.go
@@ -145,6 +145,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer e.finish(id)
+	w.Header().Set(adapter.HeaderAttempt, id)
 	if c.Stream {
 		e.streamCompletion(ctx, w, id, c)
 		return
--- a/internal/standin/endpoint/service.go
+++ b/internal/standin/endpoint/service.go
@@ -110,6 +110,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer s.finish(id)
+	w.Header().Set(adapter.HeaderAttempt, id)
 
 	if r.Method != http.MethodPost {
 		s.sleep(ctx)
--- a/internal/traffic/forward/pool.go
+++ b/internal/traffic/forward/pool.go
@@ -15,10 +15,10 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"fulmardeal"
+	"fulmardeal/internal/link/connection"
 )
 
 // Timeouts and limits of connections.
@@ -226,23 +226,5 @@
 // usable reports whether the endpoint has neither closed an idle connection nor
 // sent unsolicited bytes on it.
 func (c *conn) usable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noInput := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
-		noInput = err == syscall.EAGAIN
-		return true // don't wait for input
-	})
-	return err == nil && noInput
+	return c.reader.Buffered() == 0 && connection.Quiet(c.Conn)
 }
