traffic/attempt: believe an endpoint's refusal only with the attempt's id

In our own interface an agent took any 503 with "Fulmardeal-Ran: no" for the guarantee that the attempt had not run, also one that the endpoint had written for an earlier call on the same connection. The entry then told the caller so, or sent the request to another endpoint. The same header on another status went to the caller as it was.

The refusal counts only if the endpoint has repeated the attempt's id in it. Any other response with this header is a failure after which the request may have run, and the endpoint is asked to cancel it. No endpoint of ours sends the header; those that do must repeat the id.

--- a/internal/traffic/attempt/attempt_test.go
+++ b/internal/traffic/attempt/attempt_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -23,11 +24,16 @@
 	digest      string
 	status      int
 	contentType string
+	id          string // in the response
+	ran         string // value of HeaderRan; none if empty
 }
 
 func (e *fakeEndpoint) Call(context.Context, fulmardeal.Call) (fulmardeal.Answer, error) {
 	h := []fulmardeal.Field{{Name: "Content-Type", Value: e.contentType}}
-	return fulmardeal.Answer{Status: e.status, Header: h, Body: &fakeBody{endpoint: e}}, nil
+	if e.ran != "" {
+		h = append(h, fulmardeal.Field{Name: HeaderRan, Value: e.ran})
+	}
+	return fulmardeal.Answer{ID: e.id, Status: e.status, Header: h, Body: &fakeBody{endpoint: e}}, nil
 }
 
 func (e *fakeEndpoint) Cancel(context.Context, string) error { return nil }
@@ -113,6 +119,45 @@
 	}
 }
 
+// A refusal that an endpoint has written once more, for another call, must not count as
+// the guarantee that this one has not run.
+func TestRefusalOfAnotherCall(t *testing.T) {
+	tests := []struct {
+		id, ran string
+		status  int
+		refused bool
+		fault   Fault
+	}{
+		{"one", "no", 503, true, FaultNone},
+		{"", "no", 503, false, FaultEndpoint},
+		{"two", "no", 503, false, FaultEndpoint},
+		{"one", "no", 200, false, FaultEndpoint},
+		{"", "", 503, false, FaultNone},
+	}
+	for _, tc := range tests {
+		t.Run(fmt.Sprintf("%d %s %s", tc.status, tc.id, tc.ran), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &fakeEndpoint{parts: []string{"full"}, status: tc.status, id: tc.id, ran: tc.ran}
+				l := admission.NewLimiter(nil, admission.Settings{Limit: 4, ColdLimit: 4}, time.Now())
+				table := NewTable("agent", e, l, e, nil)
+				if r := table.Start(Task{ID: "one", Incarnation: "agent", Model: v1, Remaining: time.Minute}); r != nil {
+					t.Fatalf("%+v: refused before it was sent: %v", tc, r)
+				}
+				var s Segment
+				for offset := int64(0); !s.Done; offset += int64(len(s.Data)) {
+					s = table.Read(Cursor{ID: "one", Incarnation: "agent", Offset: offset})
+				}
+				if (s.Refusal != nil) != tc.refused || s.Fault != tc.fault {
+					t.Errorf("%+v: refusal %+v, fault %q", tc, s.Refusal, s.Fault)
+				}
+				if err := table.Drain(t.Context()); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
 // TestTerminatorFilter splits a stream into segments of every size and checks
 // that no bytes are lost and that the terminator is never forwarded.
 func TestTerminatorFilter(t *testing.T) {
--- a/internal/traffic/attempt/run.go
+++ b/internal/traffic/attempt/run.go
@@ -69,8 +69,12 @@
 		return t.classifyError(ctx, a, err)
 	}
 	defer response.Body.Close()
-	if response.Status == statusUnavailable && hasField(response.Header, HeaderRan, string(RanNo)) {
-		return FaultNone, &Refusal{Reason: ReasonStopped}
+	if hasField(response.Header, HeaderRan, string(RanNo)) {
+		if response.Status == statusUnavailable && response.ID == a.id {
+			return FaultNone, &Refusal{Reason: ReasonStopped}
+		}
+		t.endpoint.Cancel(context.WithoutCancel(ctx), a.id) // it may be the refusal of another call
+		return FaultEndpoint, nil
 	}
 	t.recordHeader(a, response, versionBefore)
 
