--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"runtime/debug"
@@ -114,6 +115,10 @@
 		c.log.Warn("response is not the answer to the request", "endpoint", e.ID(), "got", r.AttemptID, "status", x.Status(), "reused", x.Reused())
 		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 	}
+	if believed := a.reservation.Weights(); r.WeightsVersion != 0 && r.WeightsVersion != believed {
+		c.log.Warn("answer from other weights than expected", "endpoint", e.ID(), "status", x.Status(), "weights", r.WeightsVersion, "expected", believed, "took", time.Since(sent))
+		a.reservation.RecordWeights(r.WeightsVersion)
+	}
 	switch {
 	case r.NotRun && x.Status() != http.StatusBadRequest:
 		c.log.Info("endpoint refused the request", "endpoint", e.ID(), "status", x.Status(), "running", r.Running, "waiting", r.Waiting, "weights", a.reservation.Weights())
@@ -213,6 +218,11 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return update{result: maybeRun, outcome: dispatch.OutcomeCancelled}
 	}
+	var withheld *forward.WithheldError
+	if errors.As(err, &withheld) {
+		c.log.Info("request withheld from the endpoint", "endpoint", e.ID(), "weights", a.reservation.Weights(), "err", withheld.Cause)
+		return update{result: notRun, outcome: dispatch.OutcomeCancelled}
+	}
 	var unsent *fulmardeal.UnsentError
 	isUnsent := errors.As(err, &unsent)
 	crashed := !isUnsent && !a.answering() && ctx.Err() == nil && c.gateway.crashes.crashed(ctx, c.gateway.pool, c.log, a.reservation)
@@ -232,6 +242,35 @@
 	return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 }
 
+// checkStart returns an error if the endpoint's weights may not be used any longer. It is
+// called just before the request is sent: the endpoint may have been selected, and its
+// connection opened, some time ago.
+func (a *attempt) checkStart() error {
+	if by := a.reservation.StartBy(); !by.IsZero() && !time.Now().Before(by) {
+		return &oldWeightsError{weights: a.reservation.Weights(), late: time.Since(by)}
+	}
+	return nil
+}
+
+// oldWeightsError reports that an endpoint's weights may not be used any longer.
+type oldWeightsError struct {
+	weights int64
+	late    time.Duration // time since a request had to start
+}
+
+func (e *oldWeightsError) Error() string {
+	return fmt.Sprintf("version %d of the weights may not be used any longer, since %v", e.weights, e.late)
+}
+
+// startTimeLeft returns how long the endpoint's weights could still be used when the
+// request was sent, less a margin, or 0 if they are not superseded.
+func (a *attempt) startTimeLeft() time.Duration {
+	if by := a.reservation.StartBy(); !by.IsZero() {
+		return by.Sub(a.sent)
+	}
+	return 0
+}
+
 // answering reports whether the endpoint is well into its answer: it has gone on after the
 // first event.
 func (a *attempt) answering() bool { return a.events > 1 }
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -132,10 +132,11 @@
 		Deadline:       time.Until(c.deadline),
 		Customer:       c.customer,
 		Priority:       -1,
-		WeightsVersion: c.progress.weights,
+		WeightsVersion: reservation.RequiredWeights(time.Now()),
 		LastEventID:    c.progress.resumeAfter(c.metadata.LastEventID),
 	}
 	if c.progress.started {
+		forwarded.WeightsVersion = c.progress.weights
 		forwarded.Priority = 0 // most urgent: its caller is waiting in the middle of a response
 	}
 	request := c.request
@@ -144,6 +145,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	exchange, withdraw := context.WithCancel(ctx)
 	a := &attempt{call: c, reservation: reservation, permit: permit, request: request, resumed: c.progress.started, cancel: cancel, withdraw: withdraw}
+	a.request.CheckSend = a.checkStart
 	c.attempts = append(c.attempts, a)
 	c.sends++
 	c.silenceTimer.Reset(c.silenceTimeout())
@@ -271,7 +273,7 @@
 	}
 	c.gateway.stats.served(c.service, time.Since(c.received))
 	c.log.Info("served", "endpoint", reservation.Endpoint().ID(), "first", c.progress.firstEvent, "pause", c.progress.longestPause, "events", c.progress.events,
-		"expected", reservation.ExpectedFirstEvent(), "waited", c.queueTime, "prompt", c.metadata.PromptTokens, "sends", c.sends, "weights", u.weights)
+		"expected", reservation.ExpectedFirstEvent(), "waited", c.queueTime, "prompt", c.metadata.PromptTokens, "sends", c.sends, "weights", u.weights, "left", u.attempt.startTimeLeft())
 }
 
 func (c *call) dispatchRequest() *dispatch.Request {
