process/gateway: test that weights in an unmatched response are not believed

An entry corrects what it takes an engine to hold by the version in the engine's response. In an earlier response, written once more, that version is old.

--- a/internal/process/gateway/repeat_test.go
+++ b/internal/process/gateway/repeat_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -58,7 +59,7 @@
 
 // extra returns the refusal that answers no request.
 func (c repeat) extra() string {
-	h := fmt.Sprintf("HTTP/1.1 %d Refused\r\nContent-Length: 4\r\n", c.status)
+	h := fmt.Sprintf("HTTP/1.1 %d Refused\r\nContent-Length: 4\r\nX-Fulmardeal-Weight-Versions: 9\r\n", c.status)
 	for _, id := range map[string][]string{"other": {otherID}, "same": {repeatedID}, "both": {repeatedID, otherID}, "first": {otherID, repeatedID}}[c.id] {
 		h += "X-Fulmardeal-Attempt-Id: " + id + "\r\n"
 	}
@@ -226,7 +227,9 @@
 
 func (c repeat) run(t *testing.T) {
 	e := &rawEndpoint{repeat: c, runs: make(map[string]int), heard: make(map[string]int), both: make(chan struct{})}
+	var log syncBuffer
 	w := startGateway(t, func(w *testGateway) {
+		w.log = slog.NewTextHandler(&log, nil)
 		configured := catalogue(2)
 		once := configured.Routes[2]
 		once.Name, once.Prefix, once.Resumable = "once", "/once/", false
@@ -256,6 +259,9 @@
 	if slices.Contains([]string{"first", "interim", "head", "body", "crossed"}, c.when) && c.before == "served" && !e.kept {
 		t.Error("the request did not come on a kept connection")
 	}
+	if c.id != "same" && strings.Contains(log.String(), "weights=9") {
+		t.Error("the weights in a response that answers no request are believed")
+	}
 }
 
 // check checks the answer to a request and how often it has run.
