--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -111,14 +111,14 @@
 	defer x.Close()
 	r := g.codec.ReadResponseMetadata(x.Status(), x.Header())
 	a.applyNotice(r)
+	if !c.isAnswer(x.Status(), r) {
+		c.log.Warn("response is not the answer to the request", "endpoint", e.ID(), "got", r.AttemptID, "status", x.Status(), "reused", x.Reused())
+		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
+	}
 	if believed := a.reservation.Weights(); r.WeightsVersion != 0 && r.WeightsVersion != believed {
 		c.log.Warn("answer from other weights than expected", "endpoint", e.ID(), "status", x.Status(), "weights", r.WeightsVersion, "expected", believed, "took", time.Since(sent))
 		a.reservation.RecordWeights(r.WeightsVersion)
 	}
-	if r.AttemptID != "" && r.AttemptID != c.metadata.AttemptID {
-		c.log.Warn("response has the id of another attempt", "endpoint", e.ID(), "got", r.AttemptID, "reused", x.Reused())
-		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
-	}
 	switch {
 	case r.NotRun && x.Status() != http.StatusBadRequest:
 		c.log.Info("endpoint refused the request", "endpoint", e.ID(), "status", x.Status(), "running", r.Running, "waiting", r.Waiting, "weights", a.reservation.Weights())
@@ -133,6 +133,9 @@
 	case !r.Signed && !r.NotRun:
 		c.log.Warn("response has no signature", "endpoint", e.ID(), "status", x.Status())
 		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
+	case !r.NotRun && promisesNotRun(x.Status()) && c.route.Kind != fulmardeal.KindIdempotent:
+		c.log.Warn("endpoint refused the request without a guarantee that it has not run", "endpoint", e.ID(), "status", x.Status())
+		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 	case x.Status()/100 == 2 && c.route.Kind == fulmardeal.KindStream:
 		return a.readStream(ctx, x, r)
 	case a.resumed: // the caller has got a part of a stream: nothing but its rest may follow
--- a/internal/traffic/forward/exchange.go
+++ b/internal/traffic/forward/exchange.go
@@ -26,6 +26,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	Trail  *Trail // connections that must not carry the request
 
 	// CheckSend is called when a connection is there and before anything is sent on it.
 	// If it returns an error, nothing is sent. A nil CheckSend permits all requests.
@@ -80,7 +81,7 @@
 // zero. A connection that was idle for longer than maxIdleTime isn't reused. The
 // error is a *fulmardeal.UnsentError or a *LostError.
 func (p *Pool) Send(ctx context.Context, address string, r Request, maxIdleTime time.Duration, headerBy time.Time) (*Exchange, error) {
-	c, err := p.get(ctx, address, maxIdleTime)
+	c, err := p.get(ctx, address, maxIdleTime, r.Trail)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/traffic/forward/pool.go
+++ b/internal/traffic/forward/pool.go
@@ -12,12 +12,13 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"fulmardeal"
+	"fulmardeal/internal/link/connection"
 )
 
 // Timeouts and limits of connections.
@@ -129,16 +130,18 @@
 	return p.dialed, p.reused
 }
 
-// get returns an idle connection that was last used at most maxIdleTime ago, or
-// a new connection. The error is a *fulmardeal.UnsentError.
-func (p *Pool) get(ctx context.Context, address string, maxIdleTime time.Duration) (*conn, error) {
+// get returns an idle connection that was last used at most maxIdleTime ago and is not
+// on the trail, or a new connection, and adds it to the trail. The error is a
+// *fulmardeal.UnsentError.
+func (p *Pool) get(ctx context.Context, address string, maxIdleTime time.Duration, trail *Trail) (*conn, error) {
 	for {
-		c := p.take(address, maxIdleTime)
+		c := p.takeOff(address, maxIdleTime, trail)
 		if c == nil {
 			break
 		}
 		if c.usable() {
 			c.reused = true
+			trail.add(c)
 			return c, nil
 		}
 		c.Close()
@@ -151,12 +154,19 @@
 	p.dialed++
 	p.mu.Unlock()
 	l := &headLimiter{Conn: n}
-	return &conn{Conn: n, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}, nil
+	c := &conn{Conn: n, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
+	trail.add(c)
+	return c, nil
 }
 
 // take returns the most recently used idle connection, or nil if there is none
 // or it has been idle for too long.
 func (p *Pool) take(address string, maxIdleTime time.Duration) *conn {
+	return p.takeOff(address, maxIdleTime, nil)
+}
+
+// takeOff is take among the connections that are not on the trail.
+func (p *Pool) takeOff(address string, maxIdleTime time.Duration, trail *Trail) *conn {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -164,18 +174,23 @@
 	if len(list) == 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	if age := now.Sub(c.idleSince); age > c.idleTimeout {
+	i := len(list) - 1
+	if c := list[i]; now.Sub(c.idleSince) > c.idleTimeout {
 		// The other connections have been idle for even longer.
 		for _, x := range list {
 			x.Close()
 		}
 		delete(p.idle, address)
 		return nil
-	} else if age > maxIdleTime {
+	}
+	for i >= 0 && trail.has(list[i]) {
+		i--
+	}
+	if i < 0 || now.Sub(list[i].idleSince) > min(maxIdleTime, list[i].idleTimeout) {
 		return nil
 	}
-	p.idle[address] = list[:len(list)-1]
+	c := list[i]
+	p.idle[address] = slices.Delete(list, i, i+1)
 	p.reused++
 	return c
 }
@@ -220,23 +235,5 @@
 // usable reports whether the endpoint has neither closed an idle connection nor
 // sent unsolicited bytes on it.
 func (c *conn) usable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noInput := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
-		noInput = err == syscall.EAGAIN
-		return true // don't wait for input
-	})
-	return err == nil && noInput
+	return c.reader.Buffered() == 0 && connection.Quiet(c.Conn)
 }
