process/gateway: keep the newer of what the two followers read at once

An entry refused all requests with 503 "none" although it had read both the configuration and the registrations, until the next change of either. Seen as a rare failure of TestResponseEndsWithConnection:

//order/_none_body_reset_two_502 status 503, want 502: "none\n" (three of three calls)

The followers of the operators' changes and of the registrations run concurrently. Each took the list of the registrations and the view of the configuration, and then passed both to the table. The one that was overtaken between these two steps replaced the newer state by the older one: no endpoints, no configuration, or, by the same steps, an older version of the weights or routes.

A lock is now held from the reading of both to the refresh. That a view with older weights was ever used is not shown.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -137,6 +137,7 @@
 	catalogue      catalogue.Table
 	roster         roster.Roster
 	table          *dispatch.Table
+	refreshing     sync.Mutex // held while the table is refreshed
 	pool           *forward.Pool
 	mesh           *sharing.Mesh
 	operator       *feed.Follower
@@ -294,7 +295,7 @@
 		if c := g.catalogue.View().Catalogue(); c != nil {
 			g.callerConns.setLimits(c.Limits)
 		}
-		g.table.Refresh(now, g.roster.List(), g.catalogue.View())
+		g.refreshTable(now)
 		g.mesh.UpdateAgents()
 	}
 }
@@ -331,10 +332,19 @@
 		g.mesh.UpdateAgents() // a new agent has not received any update yet
 	}
 	if len(b.Changes) > 0 || g.roster.Version() != before {
-		g.table.Refresh(now, g.roster.List(), g.catalogue.View())
+		g.refreshTable(now)
 	}
 }
 
+// refreshTable applies the registrations and the configuration in force to the table. Both
+// are followed concurrently: what one follower has read must not be replaced by an older
+// state that the other one took before.
+func (g *Gateway) refreshTable(now time.Time) {
+	g.refreshing.Lock()
+	defer g.refreshing.Unlock()
+	g.table.Refresh(now, g.roster.List(), g.catalogue.View())
+}
+
 // Run runs the gateway until the context ends, then shuts it down gracefully.
 func (g *Gateway) Run(ctx context.Context) error {
 	if g.settings.MemoryLimit > 0 {
@@ -415,7 +425,7 @@
 			g.updateGauges()
 		}
 		if g.roster.Expire(now) {
-			g.table.Refresh(now, g.roster.List(), g.catalogue.View())
+			g.refreshTable(now)
 		}
 		g.table.Tick(now)
 	}
