process/gateway: pass on nothing but the next events of a stream

A stream broke off after its first events, and the next endpoint answered with something else: a text, JSON, another answer's head and text. Callers got that text among their events, and with a length or a last chunk the stream ended as if it were complete. Reported by operators of other systems; nothing shows that it has happened on theirs.

The cause: whatever came with status 2xx on a route of streams was taken for events, and split at empty lines. Neither its type nor its lines were looked at, an id was compared only to leave out what the caller had, and an answer without any event was the end of the stream.

TestErrorStandsInStream (testdata/streams.txtar) plays 42 answers, with chunks, with a length and ending with the connection, as the answer of the next endpoint, as that of all endpoints, beside an endpoint that is silent and goes on, and after it has gone on. Before, 216 of 450 cases failed, such as

text_with_an_empty_line/length/resumed/between: status 200, <nil>: "id: 1\ndata: event 1\n\n id: 2\ndata: event 2\n\nout of memory\n\nsee the log\n\n" second_answer/chunks/resumed/between: status 200, <nil>: "...id: 4\ndata: event 4\n\nHTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 14\r\n\r\nout of memory\n\n" no_events/length/resumed/between: status 200, <nil>: the first two events as a whole stream

Ruled out, by cases that passed before: error statuses, refusals, a head that breaks off, a text without an empty line, a broken chunk, and an answer that arrives after the first endpoint has gone on.

Now an answer is a stream if its type is text/event-stream and it has no encoding; one that goes on with another's events must also name the attempt and the same weights. Each line is checked before it is passed on: a field of events or a comment, or the platform's field as the first line; one kind of line ends in an event; ids are numbers and increase; once there were ids, each event with data has one. What is wrong ends the attempt as failed, so that the stream goes on elsewhere if it may, and is broken off otherwise. All 450 cases pass.

Decided, where the platform's pages leave it open:

- Ids increase; nothing says that they leave no number out, and an event may hold several tokens.
So a gap inside one answer is passed on.
An answer that is to go on with a stream whose ids have had no gap must begin with the next id: the events of another run, or of a later point, aren't the rest.
- An endpoint that begins again with event 1 isn't resumed from: its later events are those of another run.
They were passed on before, without those that the caller had.
- An answer without events is not the end of a stream that another endpoint broke off.
Nothing marks the last event, so the entry can't know whether it had come.
Where it had, the caller sees a broken stream.
Beside an endpoint that is only silent, this costs nothing: that one goes on.

Endpoints of tests sent streams without a type, or with the one that net/http guesses; they send the platform's now. No check changed.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -33,7 +33,9 @@
 	reservation *dispatch.Reservation
 	permit      *quarantine.Permit
 	request     forward.Request
-	resumed     bool // the caller already has part of the response
+	resumed     bool       // the caller already has part of the response
+	order       eventOrder // of the events that a stream has to continue
+	weights     int64      // the only version of the weights that may continue it; 0 for any
 	cancel      context.CancelFunc
 	withdraw    context.CancelFunc // ends the exchange, but not the report of its end
 	begun       atomic.Bool        // the endpoint has begun to answer
@@ -54,6 +56,8 @@
 	header   http.Header // of the endpoint's response
 	weights  int64       // version of the weights that serve the request
 	events   []byte      // complete events of a stream
+	count    int         // number of these events
+	order    eventOrder  // after these events
 	response *endpointResponse
 	ended    bool // no further update follows
 	result   attemptResult
@@ -137,43 +141,50 @@
 	return a.readPlain(ctx, x, r, sent)
 }
 
-// readStream reports events as they arrive. It reports only complete events, so that a
-// stream that an endpoint breaks off can be resumed at another one.
+// readStream reports events as they arrive. It reports only complete events that continue
+// the stream, so that a stream that an endpoint breaks off, or goes on with something else,
+// can be resumed at another one.
 func (a *attempt) readStream(ctx context.Context, x *forward.Exchange, r fulmardeal.ResponseMetadata) update {
 	c := a.call
-	id := a.reservation.Endpoint().ID()
-	var pending []byte
+	log := c.log.With("endpoint", a.reservation.Endpoint().ID())
+	failed := update{result: maybeRun, outcome: dispatch.OutcomeFailed}
+	if reason := a.rejectStream(x.Header(), r); reason != "" {
+		log.Warn("response is not the stream that was asked for", "reason", reason, "resumed", a.resumed, "type", x.Header().Get("Content-Type"), "weights", r.WeightsVersion)
+		return failed
+	}
+	scanner := eventScanner{order: a.order, joins: a.resumed, isField: c.gateway.codec.EventField}
 	buf := make([]byte, readSize)
 	lastHeard, started := time.Now(), false
 	for {
 		n, err := x.Read(buf, noDeadline)
-		pending = append(pending, buf[:n]...)
-		events, partial := splitEvents(pending)
+		events, count, invalid := scanner.append(buf[:n])
 		if len(events) > 0 {
 			a.begun.Store(true)
 			a.reservation.RecordEvent()
-			a.events += countEvents(events)
+			a.events += count
 			lastHeard, started = time.Now(), true
 			if a.answering() {
 				a.permit.Begun(lastHeard)
 			}
-			a.report(ctx, update{attempt: a, status: x.Status(), header: x.Header(), weights: r.WeightsVersion, events: events})
-			pending = append([]byte(nil), partial...) // the call may still use the events
+			a.report(ctx, update{attempt: a, status: x.Status(), header: x.Header(), weights: r.WeightsVersion, events: events, count: count, order: scanner.order})
 		}
 		switch {
+		case invalid != nil:
+			log.Warn("stream has bytes that are not its next event", "err", invalid, "resumed", a.resumed, "events", a.events)
+			return failed
 		case errors.Is(err, io.EOF):
-			if len(pending) > 0 || !started && (!a.resumed || x.EndsWithConnection()) {
-				c.log.Warn("stream ended within an event or before the first", "endpoint", id, "begun", started)
-				return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
+			if !scanner.complete() {
+				log.Warn("stream ended within an event or before the first", "begun", started, "resumed", a.resumed)
+				return failed
 			}
 			a.permit.Begun(time.Now())
 			x.Release(r.IdleTimeout)
 			return update{result: finished, outcome: dispatch.OutcomeServed, weights: r.WeightsVersion}
 		case err != nil:
 			return a.failure(ctx, err, lastHeard, started)
-		case len(pending) > maxEventBytes:
-			c.log.Warn("stream event exceeds the size limit", "endpoint", id, "bytes", len(pending))
-			return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
+		case scanner.buffered() > maxEventBytes:
+			log.Warn("stream event exceeds the size limit", "bytes", scanner.buffered())
+			return failed
 		}
 	}
 }
--- a/internal/process/gateway/crash_test.go
+++ b/internal/process/gateway/crash_test.go
@@ -118,6 +118,7 @@
 	}
 	w.Header().Set("X-Fulmardeal-Attempt-Id", attempt)
 	w.Header().Set("X-Fulmardeal-Response-Stamp", "by-"+id)
+	w.Header().Set("Content-Type", "text/event-stream")
 	_ = http.NewResponseController(w).Flush()
 	if poisoned {
 		time.Sleep(crashAfterHeader)
--- a/internal/process/gateway/end_test.go
+++ b/internal/process/gateway/end_test.go
@@ -69,6 +69,9 @@
 	defer c.Close()
 	body := e.body()
 	header := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Fulmardeal-Attempt-Id: %s\r\nX-Fulmardeal-Response-Stamp: by-1\r\n", r.Header.Get("X-Fulmardeal-Attempt-Id"))
+	if e.path == "/stream/" {
+		header += "Content-Type: text/event-stream\r\n"
+	}
 	switch e.framing {
 	case "chunks":
 		header += "Transfer-Encoding: chunked\r\n"
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -98,13 +98,15 @@
 	feedRegistrations = "registrations"
 )
 
-// Codec reads and writes the platform's headers.
+// Codec reads and writes the platform's headers, and knows the fields that it adds to the
+// events of a stream.
 type Codec interface {
 	ReadRequestMetadata(h http.Header) fulmardeal.RequestMetadata
 	ForwardHeader(caller http.Header, f fulmardeal.ForwardMetadata) http.Header
 	ReadResponseMetadata(status int, h http.Header) fulmardeal.ResponseMetadata
 	ResponseHeader(endpoint http.Header) http.Header
 	SetRejectionHeader(h http.Header, attempt string, after time.Duration)
+	EventField(name []byte) bool
 }
 
 // Store is the part of the platform's store that a gateway uses.
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -141,6 +141,9 @@
 		n.(*atomic.Int32).Add(1)
 		rw.Header().Set("X-Fulmardeal-Attempt-Id", attempt)
 		rw.Header().Set("X-Fulmardeal-Response-Stamp", "by-"+id)
+		if strings.HasPrefix(r.RequestURI, "/stream/") || strings.HasPrefix(r.RequestURI, "/verse/") {
+			rw.Header().Set("Content-Type", "text/event-stream") // as all endpoints answer on such routes
+		}
 		serve(rw, r)
 	}))
 	w.t.Cleanup(s.Close)
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -143,6 +143,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	exchange, withdraw := context.WithCancel(ctx)
 	a := &attempt{call: c, reservation: reservation, permit: permit, request: request, resumed: c.progress.started, cancel: cancel, withdraw: withdraw}
+	a.order, a.weights = c.progress.nextOrder(c.metadata.LastEventID), c.progress.weights
 	c.attempts = append(c.attempts, a)
 	c.sends++
 	c.silenceTimer.Reset(c.silenceTimeout())
@@ -303,7 +304,7 @@
 		return "time is up", false
 	case runs > 0 && !c.route.Repeatable():
 		return "may have run", false
-	case c.progress.unresumable:
+	case c.progress.order.unnumbered:
 		return "events without ids", false
 	case runs >= c.route.Attempts:
 		return "attempts used up", false
--- a/internal/process/gateway/silence_test.go
+++ b/internal/process/gateway/silence_test.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return
 	}
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Fulmardeal-Attempt-Id: %s\r\nX-Fulmardeal-Response-Stamp: by-2\r\n\r\n", r.Header.Get("X-Fulmardeal-Attempt-Id"))
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Fulmardeal-Attempt-Id: %s\r\nX-Fulmardeal-Response-Stamp: by-2\r\n\r\n", r.Header.Get("X-Fulmardeal-Attempt-Id"))
 	c.Close()
 }
 
