process/gateway: break off each stream that hasn't reached its end

A caller that closed its sending side after the first event of a stream, and still read, got a last chunk: the stream looked complete after two events.

The cause: net/http ends the request's context when it reads the end of the caller's sending side. The handler took that for a caller that is gone and returned, and net/http ends the body of a handler that returns in order. Only the paths that called giveUp broke the connection.

TestStreamEndedByEntryLooksComplete (testdata/breakoffs.txt) ends a stream after two events for nine reasons. Before, one failed:

half-close: the stream ends with <nil>, want an incomplete body

The other eight passed before: the deadline, the end of the grace period, no other endpoint, a route whose streams may not be resumed, no retries left, a panic in the handler, in the attempt and in the next one.

A response that has begun and has not been ended by its endpoint is now broken off wherever its handler returns, and the entry's own refusals and plain answers break it off as well, so that no path has to know. All nine pass.

--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -79,8 +79,14 @@
 	g.retryBudget(c.service).Deposit()
 	defer c.freeBuffered()
 	c.run(ctx)
+	if c.progress.started && !c.progress.ended {
+		c.breakOff() // the caller may still read: it may have closed its sending side only
+	}
 }
 
+// breakOff ends a response that is incomplete without its last chunk.
+func (c *call) breakOff() { panic(http.ErrAbortHandler) }
+
 // logPanic logs a panic of the handler, which makes net/http close the caller's
 // connection. An abort by giveUp has been logged already.
 func (c *call) logPanic() {
@@ -257,7 +263,7 @@
 	switch {
 	case c.progress.started:
 		c.gateway.stats.count("broken", c.service)
-		panic(http.ErrAbortHandler) // breaks the connection: the caller must see that the stream is incomplete
+		c.breakOff()
 	case c.lastFailure != nil:
 		c.gateway.stats.count("failed", c.service)
 		c.writeResponse(c.lastFailure)
@@ -293,6 +299,9 @@
 // refuse sends a refusal by the entry itself. after is its Retry-After, 0 for
 // none.
 func (c *call) refuse(status int, reason string, after time.Duration) {
+	if c.progress.started {
+		c.breakOff()
+	}
 	c.gateway.stats.count("refused_"+strconv.Itoa(status), c.service)
 	if status != http.StatusServiceUnavailable {
 		c.log.Info("request refused", "status", status, "reason", reason, "version", c.version)
--- a/internal/process/gateway/plain.go
+++ b/internal/process/gateway/plain.go
@@ -17,6 +17,9 @@
 
 // writeResponse sends an endpoint's response to the caller unchanged.
 func (c *call) writeResponse(response *endpointResponse) {
+	if c.progress.started {
+		c.breakOff()
+	}
 	h := c.writer.Header()
 	for name, values := range c.gateway.codec.ResponseHeader(response.header) {
 		h[name] = values
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -269,6 +269,7 @@
 		}
 		return
 	}
+	c.progress.ended = true
 	c.gateway.stats.served(c.service, time.Since(c.received))
 	c.log.Info("served", "endpoint", reservation.Endpoint().ID(), "first", c.progress.firstEvent, "pause", c.progress.longestPause, "events", c.progress.events,
 		"expected", reservation.ExpectedFirstEvent(), "waited", c.queueTime, "prompt", c.metadata.PromptTokens, "sends", c.sends, "weights", u.weights)
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -14,6 +14,7 @@
 // streamProgress is the progress of a streamed response to the caller.
 type streamProgress struct {
 	started      bool // the response's header has been sent to the caller
+	ended        bool // the last event has been sent to the caller
 	events       int
 	order        eventOrder    // of the events sent to the caller
 	firstEvent   time.Duration // from the receipt of the request to the first event
