--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -172,6 +172,9 @@
 		n, _ := w.received.LoadOrStore(attempt, new(atomic.Int32))
 		n.(*atomic.Int32).Add(1)
 		rw.Header().Set("X-Fulmardeal-Response-Stamp", "by-"+id)
+		if strings.HasPrefix(r.RequestURI, "/stream/") || strings.HasPrefix(r.RequestURI, "/verse/") {
+			rw.Header().Set("Content-Type", "text/event-stream") // as all endpoints answer on such routes
+		}
 		serve(rw, r)
 	}))
 	w.t.Cleanup(s.Close)
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -145,6 +145,7 @@
 	exchange, withdraw := context.WithCancel(ctx)
 	a := &attempt{call: c, reservation: reservation, permit: permit, request: request, resumed: c.progress.started, cancel: cancel, withdraw: withdraw}
 	a.request.CheckSend = a.checkSend
+	a.order, a.weights = c.progress.nextOrder(c.metadata.LastEventID), c.progress.weights
 	c.attempts = append(c.attempts, a)
 	c.sends++
 	c.silenceTimer.Reset(c.silenceTimeout())
@@ -269,6 +270,7 @@
 		}
 		return
 	}
+	c.progress.ended = true
 	c.gateway.stats.served(c.service, time.Since(c.received))
 	c.log.Info("served", "endpoint", reservation.Endpoint().ID(), "first", c.progress.firstEvent, "pause", c.progress.longestPause, "events", c.progress.events,
 		"expected", reservation.ExpectedFirstEvent(), "waited", c.queueTime, "prompt", c.metadata.PromptTokens, "sends", c.sends, "weights", u.weights, "left", u.attempt.startTimeLeft())
@@ -304,7 +306,7 @@
 		return "time is up", false
 	case runs > 0 && !c.route.Repeatable():
 		return "may have run", false
-	case c.progress.unresumable:
+	case c.progress.order.unnumbered:
 		return "events without ids", false
 	case runs >= c.route.Attempts:
 		return "attempts used up", false
