--- /dev/null
+++ b/internal/fleet/feed/fault_test.go
@@ -0,0 +1,74 @@
+package feed
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"fulmardeal"
+)
+
+// faultyFeed has one record that can't be decoded, and trims its history at each read.
+type faultyFeed struct{ offset fulmardeal.Position }
+
+func (f *faultyFeed) Newest(context.Context) ([]fulmardeal.Change, fulmardeal.Position, error) {
+	return []fulmardeal.Change{{Key: "odd", Offset: f.offset, Fault: errors.New("slots: missing")}, {Key: "good", Offset: 1}}, 10, nil
+}
+
+func (f *faultyFeed) Since(context.Context, fulmardeal.Position, time.Duration) ([]fulmardeal.Change, fulmardeal.Position, error) {
+	return nil, 0, &fulmardeal.TrimmedError{First: 10}
+}
+
+// A record that can't be decoded is returned by each full read, but is logged and counted
+// once. A newer record of its key is another one.
+func TestFaultyRecordIsLoggedOnce(t *testing.T) {
+	var lines bytes.Buffer
+	counted, applied := 0, 0
+	faulty := &faultyFeed{offset: 3}
+	log := slog.New(slog.NewTextHandler(&lines, nil))
+	f := New(Options{
+		Name: "registrations", Feed: faulty, Log: log, Apply: func(b Batch) { applied += len(b.Changes) },
+		Faults: NewFaultLog(log, func(string) { counted++ }),
+	})
+	read := func(times int) {
+		next, full := fulmardeal.Position(0), true
+		for range times {
+			var err error
+			if next, full, err = f.step(t.Context(), next, full); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	read(9) // five full reads
+	check := func(want int) {
+		t.Helper()
+		if n := strings.Count(lines.String(), "record can't be decoded"); n != want || counted != want {
+			t.Errorf("logged %d times, counted %d times, want %d", n, counted, want)
+		}
+	}
+	check(1)
+	if applied != 10 {
+		t.Errorf("%d changes applied, want 10", applied)
+	}
+	faulty.offset = 7
+	read(5)
+	check(2)
+	if !strings.Contains(lines.String(), "key=odd offset=7 err=\"slots: missing\"") {
+		t.Errorf("lines without key, offset and cause: %s", lines.String())
+	}
+}
+
+// The memory for faulty records is limited, whatever their keys are.
+func TestFaultLogIsBounded(t *testing.T) {
+	l := NewFaultLog(slog.New(slog.DiscardHandler), nil)
+	for i := range 3 * maxKnownFaults {
+		l.Record("registrations", []fulmardeal.Change{{Key: strings.Repeat("k", i), Offset: 1, Fault: errors.New("odd")}})
+	}
+	if len(l.known) > maxKnownFaults {
+		t.Errorf("%d faults remembered", len(l.known))
+	}
+}
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -62,9 +62,10 @@
 	// Provisional means that it never does.
 	Provisional func() bool
 
-	Apply func(Batch)
-	Clock func() time.Duration // nil means Uptime
-	Log   *slog.Logger
+	Apply  func(Batch)
+	Clock  func() time.Duration // nil means Uptime
+	Log    *slog.Logger
+	Faults *FaultLog // nil means one that logs to Log
 }
 
 // Follower polls one feed. It is safe for concurrent use.
@@ -87,6 +88,9 @@
 	if o.Clock == nil {
 		o.Clock = Uptime
 	}
+	if o.Faults == nil {
+		o.Faults = NewFaultLog(o.Log, nil)
+	}
 	return &Follower{options: o}
 }
 
@@ -177,11 +181,7 @@
 	batch := Batch{Changes: changes, Next: after, Full: full, Restored: full && f.known() && after.Era() > next.Era()}
 	batch.SinceLastRead = f.recordSuccess(asOf)
 	f.scheduleConfirmation(batch)
-	for _, c := range changes {
-		if c.Fault != nil {
-			f.options.Log.Warn("record can't be decoded", "feed", f.options.Name, "key", c.Key, "offset", int64(c.Offset), "err", c.Fault)
-		}
-	}
+	f.options.Faults.Record(f.options.Name, changes)
 	f.options.Apply(batch)
 	return after, false, nil
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -141,6 +141,7 @@
 	mesh           *sharing.Mesh
 	operator       *feed.Follower
 	registrations  *feed.Follower
+	faults         *feed.FaultLog
 	relay          feed.Relay         // serves the feeds to other entries
 	rpcServer      *connection.Server // for RPCs of other entries
 	stats          *Stats
@@ -177,6 +178,7 @@
 		store:          o.Store,
 		log:            o.Log,
 		stats:          stats,
+		faults:         feed.NewFaultLog(o.Log, stats.recordRefused),
 		metricsAddress: o.Metrics,
 		dumpWriter:     o.Dump,
 		retryBudgets:   make(map[string]*budget.RetryBudget),
@@ -191,7 +193,7 @@
 	address := net.JoinHostPort(o.Settings.IP, itoa(o.Settings.PortRange[0]))
 	mesh, closeMesh, err := sharing.NewMesh(sharing.Options{
 		Name: o.Settings.Name, DataCentre: o.Settings.DataCentre, Regions: o.Settings.Regions, Listen: address, Table: g.table, Quarantine: g.quarantine, EntryFeed: o.Store.Entries(), Announcer: o.Store,
-		Targets: func() []catalogue.Target { return g.catalogue.View().Targets() }, Agents: g.agents, AgentPort: uint16(o.Settings.PortRange[0]), Log: o.Log,
+		Targets: func() []catalogue.Target { return g.catalogue.View().Targets() }, Agents: g.agents, AgentPort: uint16(o.Settings.PortRange[0]), Log: o.Log, Faults: g.faults,
 	})
 	if err != nil {
 		cleanup()
@@ -236,7 +238,7 @@
 func (g *Gateway) newFollower(clients *connection.Pool, o feed.Options) *feed.Follower {
 	r := &feed.RelayClient{Name: o.Name, Store: o.Feed, Relays: g.relayAddresses, Log: g.log, Call: clients.Call}
 	apply := o.Apply
-	o.Feed, o.Pause, o.Lag, o.Provisional, o.Log = r, r.Pause, r.Lag, r.Provisional, g.log
+	o.Feed, o.Pause, o.Lag, o.Provisional, o.Log, o.Faults = r, r.Pause, r.Lag, r.Provisional, g.log, g.faults
 	o.Apply = func(b feed.Batch) { apply(g.relay.Put(o.Name, b)) }
 	f := feed.New(o)
 	g.relay.Add(o.Name, f.Age)
--- a/internal/process/gateway/stats.go
+++ b/internal/process/gateway/stats.go
@@ -30,6 +30,11 @@
 	s.scope.Tagged(map[string]string{"service": service}).Counter(what).Inc(1)
 }
 
+// recordRefused counts a record of a feed that can't be decoded.
+func (s *Stats) recordRefused(feed string) {
+	s.scope.Tagged(map[string]string{"feed": feed}).Counter("records_refused").Inc(1)
+}
+
 func (s *Stats) served(service string, took time.Duration) {
 	t := s.scope.Tagged(map[string]string{"service": service})
 	t.Counter("served").Inc(1)
--- a/internal/traffic/sharing/mesh.go
+++ b/internal/traffic/sharing/mesh.go
@@ -13,6 +13,7 @@
 
 	"fulmardeal"
 	"fulmardeal/internal/fleet/catalogue"
+	"fulmardeal/internal/fleet/feed"
 	"fulmardeal/internal/fleet/membership"
 	"fulmardeal/internal/traffic/dispatch"
 	"fulmardeal/internal/traffic/quarantine"
@@ -106,8 +107,12 @@
 	Agents     func() []Agent            // all agents known to this entry
 	AgentPort  uint16                    // UDP port on which agents listen for updates
 	Log        *slog.Logger
+	Faults     *feed.FaultLog // for records of EntryFeed; nil if they are not logged
 }
 
+// feedEntries is the name of EntryFeed in log lines.
+const feedEntries = "entries"
+
 // Mesh exchanges load reports with the other entries and sends updates to
 // agents.
 type Mesh struct {
@@ -387,6 +392,7 @@
 	if err != nil {
 		return err
 	}
+	m.options.Faults.Record(feedEntries, changes)
 	for _, c := range changes {
 		if c.Quarantine != nil && m.options.Quarantine != nil {
 			m.options.Quarantine.Apply(time.Now(), *c.Quarantine)
