platform: refuse records of the entries' topic that end a gateway

What entries need to know of each other is in a topic of the store, beside those of the platform. Two odd records of it ended every gateway, and again at each start, since the list is the first thing that a gateway reads; the whole site would have been without entries until the record's key was written again:

":7700 a" panic: As4 called on IP zero value sharing.encodeAgentUpdate <- Mesh.UpdateAgents {"probes":-1,...} panic: runtime error: negative shift amount quarantine.probeInterval <- Table.apply <- Mesh.readList

An address without a host resolves to an empty one, which has no form in the updates to agents. The number of failed probes of a quarantine is the exponent of the interval until the next.

A verdict in a datagram whose time has no JSON form was taken too (year 10000 and later); storing it fails for good, and it is retried before all that follow. It is refused, with its datagram.

--- a/internal/traffic/quarantine/verdict.go
+++ b/internal/traffic/quarantine/verdict.go
@@ -132,7 +132,7 @@
 }
 
 func probeInterval(probes int) time.Duration {
-	return min(firstProbe<<min(probes, 8), maxInterval)
+	return min(firstProbe<<min(max(0, probes), 8), maxInterval)
 }
 
 // condemn passes a verdict if the crashes suffice for one that applies to the request. It
--- a/internal/traffic/sharing/mesh.go
+++ b/internal/traffic/sharing/mesh.go
@@ -401,7 +401,7 @@
 			continue // a record of another kind; an empty address would resolve to one of no host
 		}
 		a, err := net.ResolveUDPAddr("udp4", c.Address)
-		if err != nil || a.String() == m.options.Listen {
+		if err != nil || a.IP.To4() == nil || a.Port == 0 || a.String() == m.options.Listen {
 			continue // this entry, or not an address
 		}
 		m.mu.Lock()
--- a/internal/traffic/sharing/quarantine.go
+++ b/internal/traffic/sharing/quarantine.go
@@ -93,6 +93,10 @@
 // maxAge is the longest age in a report, in microseconds; longer ones are invalid.
 const maxAge = 24 * 3600 * 1e6
 
+// maxUnixMilli is the end of the year 9998. Times after 9999, in any time zone, can't be
+// stored, since JSON can't express them.
+const maxUnixMilli = 253370764799999
+
 func (r *decoder) age() time.Duration {
 	n := r.uvarint()
 	if n > maxAge {
@@ -135,7 +139,11 @@
 		q.Weights = append(q.Weights, r.number())
 	}
 	q.Crashes, q.Probes, q.Serial = int(min(r.number(), maxCount)), int(min(r.number(), maxCount)), r.number()
-	q.Since = time.UnixMilli(r.number())
+	since := r.number()
+	if since > maxUnixMilli {
+		r.fail("time of a verdict out of range")
+	}
+	q.Since = time.UnixMilli(since)
 	q.Released = r.flags()&flagReleased != 0
 	return q
 }
--- a/internal/traffic/sharing/sharing_test.go
+++ b/internal/traffic/sharing/sharing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net"
@@ -120,6 +121,25 @@
 }
 
 // A report with a lost part is ignored.
+// Entries store verdicts that they have received, as JSON. One that has no such form would
+// keep them from storing those that follow.
+func TestVerdictThatCannotBeStoredIsRefused(t *testing.T) {
+	for _, ms := range []int64{253370764799999, 253402300799999, 253402300800000, 1 << 62} {
+		report := quarantine.Report{Entry: "front-2", Verdicts: []fulmardeal.Quarantine{{Service: "llm", Parts: []string{"a"}, Serial: 1, Since: time.UnixMilli(ms)}}}
+		for _, b := range encodeQuarantineReport(report) {
+			got, err := decodeQuarantineReport(b[1:])
+			if err != nil {
+				continue
+			}
+			for _, v := range got.Verdicts {
+				if _, err := json.Marshal(v); err != nil {
+					t.Errorf("%d ms: decoded, but %v", ms, err)
+				}
+			}
+		}
+	}
+}
+
 func TestLostReportPart(t *testing.T) {
 	m := &Mesh{partialReports: make(map[string]*reportPart)}
 	parts := encodeReport("entry-1", "a", 7, testReport(300, 0))
