fleet/feed: keep what operators decided when a later record can't be read

If a record of the operators' topic can't be decoded, an entry keeps what is in force. Its relay dropped it: an entry that starts beside relays then got no configuration from them, and stayed unready although all others knew one. TestUnreadableConfigurationLeavesTheOneInForce on the code before, after a read of changes and after a full read:

full read false: a relay serves map[] full read true: a relay serves map[]

A relay now keeps the last readable configuration and published version of a key, also over a full read, until a readable record or a deletion follows. A registration that can't be decoded still ends the one before: the record no longer says that an endpoint is there. If the store was just restored from a backup, an unreadable record is older than what is known, which is held like other state that the backup lacks.

After: the test passes.

--- a/internal/fleet/feed/fault_test.go
+++ b/internal/fleet/feed/fault_test.go
@@ -72,3 +72,32 @@
 		t.Errorf("%d faults remembered", len(l.known))
 	}
 }
+
+// A configuration that can't be decoded leaves the one in force, also at the entries that
+// read it from a relay. A registration that can't be decoded names no endpoint.
+func TestUnreadableConfigurationLeavesTheOneInForce(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		var r Relay
+		r.Add("operator", func() (time.Duration, bool) { return 0, true })
+		r.Put("operator", Batch{Full: true, Next: 3, Changes: []fulmardeal.Change{
+			{Key: "config", Offset: 0, Catalogue: &fulmardeal.Catalogue{Version: 1}},
+			{Key: "version/m", Offset: 1, Naming: &fulmardeal.Publication{Model: "m", Version: 2}},
+			{Key: "i-1", Offset: 2, Registration: &fulmardeal.Registration{ID: "i-1"}},
+		}})
+		odd := errors.New("odd")
+		r.Put("operator", Batch{Full: full, Next: 6, Changes: []fulmardeal.Change{
+			{Key: "config", Offset: 3, Fault: odd}, {Key: "version/m", Offset: 4, Fault: odd}, {Key: "i-1", Offset: 5, Fault: odd},
+		}})
+		var resp ReadResponse
+		if _, err := r.read(ReadRequest{Feed: "operator", Whole: true}, &resp); err != nil {
+			t.Fatal(err)
+		}
+		inForce := make(map[string]bool)
+		for _, w := range resp.Items {
+			inForce[w.Change.Key] = w.Fault == ""
+		}
+		if !inForce["config"] || !inForce["version/m"] || inForce["i-1"] {
+			t.Errorf("full read %v: a relay serves %v", full, inForce)
+		}
+	}
+}
--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -131,9 +131,10 @@
 	}
 	for _, c := range b.Changes {
 		w := toWire(c)
-		if c.Gone || c.Fault != nil {
+		switch known, is := f.current[c.Key]; {
+		case c.Gone, c.Fault != nil && !(is && outlivesFault(known.Change)):
 			delete(f.current, c.Key)
-		} else {
+		case c.Fault == nil:
 			f.current[c.Key] = w
 		}
 		if !b.Full {
--- a/internal/fleet/feed/restore.go
+++ b/internal/fleet/feed/restore.go
@@ -34,7 +34,11 @@
 			held = held || b.Restored
 			continue
 		}
-		if known, is := f.current[c.Key]; is && b.Restored && outdated(c, known.Change) {
+		known, is := f.current[c.Key]
+		switch {
+		case is && c.Fault != nil && outlivesFault(known.Change):
+			c = known.Change
+		case is && b.Restored && (c.Fault != nil || outdated(c, known.Change)):
 			c, held = known.Change, true
 		}
 		changes = append(changes, c)
@@ -50,6 +54,11 @@
 	return changes, held
 }
 
+// outlivesFault reports whether a change stays in force if a later record of its key can't
+// be decoded. What operators have decided does. A registration says that an endpoint is
+// there, and the later record doesn't say so.
+func outlivesFault(c fulmardeal.Change) bool { return c.Registration == nil }
+
 // recordRemovals remembers the last change of each key that a batch deletes.
 func (f *cachedFeed) recordRemovals(now time.Time, b Batch) {
 	for key, r := range f.removed {
