--- a/internal/traffic/sharing/message.go
+++ b/internal/traffic/sharing/message.go
@@ -68,8 +68,8 @@
 		b = binary.AppendUvarint(b, uint64(len(partLoads)))
 		for _, l := range partLoads {
 			b = binary.BigEndian.AppendUint64(b, l.Hash)
-			b = binary.AppendUvarint(b, uint64(l.Running))
-			b = binary.AppendUvarint(b, uint64(l.PendingTokens))
+			b = binary.AppendUvarint(b, uint64(min(max(0, l.Running), maxCount)))
+			b = binary.AppendUvarint(b, uint64(min(max(0, l.PendingTokens), maxCount)))
 		}
 		partRefused := refused[min(len(refused), i*maxRefusedPerPart):min(len(refused), (i+1)*maxRefusedPerPart)]
 		b = binary.AppendUvarint(b, uint64(len(partRefused)))
@@ -130,8 +130,9 @@
 		ip := a.Addr().As4()
 		b = binary.BigEndian.AppendUint16(append(b, ip[:]...), a.Port())
 	}
+	peers := update.Peers[:min(len(update.Peers), maxPeersPerUpdate)]
 	var dataCentres []string
-	for _, p := range update.Peers {
+	for _, p := range peers {
 		if !slices.Contains(dataCentres, p.DataCentre) {
 			dataCentres = append(dataCentres, p.DataCentre)
 		}
@@ -140,7 +141,6 @@
 	for _, name := range dataCentres {
 		b = appendString(b, name)
 	}
-	peers := update.Peers[:min(len(update.Peers), maxPeersPerUpdate)]
 	b = binary.AppendUvarint(b, uint64(len(peers)))
 	for _, p := range peers {
 		ip := p.Host.As4()
@@ -313,7 +313,7 @@
 
 func decodeEngineStatus(data []byte) (EngineStatus, error) {
 	r := decoder{data: data}
-	status := EngineStatus{Address: r.str(), Weights: int64(r.uvarint())}
+	status := EngineStatus{Address: r.str(), Weights: r.number()}
 	status.Loading = r.uvarint() == 1
 	return status, r.err
 }
--- a/internal/traffic/sharing/sharing_test.go
+++ b/internal/traffic/sharing/sharing_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/netip"
 	"slices"
@@ -140,6 +142,56 @@
 	}
 }
 
+// The number of tokens of a request is stated by its caller. One that is out of range must
+// not make the other entries refuse the whole report.
+func TestLargeLoadDoesNotInvalidateReport(t *testing.T) {
+	for _, tokens := range []int{maxCount, maxCount + 1, 1 << 62, math.MaxInt, -1, math.MinInt} {
+		report := dispatch.LoadReport{Loads: []dispatch.EndpointLoad{{Hash: 1, Running: 2, PendingTokens: tokens}, {Hash: 2, Running: 3, PendingTokens: 4}}}
+		for _, b := range encodeReport("front-1", "a", 1, report) {
+			got, err := decodeReport(b[1:])
+			if err != nil {
+				t.Errorf("%d tokens: %v", tokens, err)
+				continue
+			}
+			want := []dispatch.EndpointLoad{{Hash: 1, Running: 2, PendingTokens: min(max(0, tokens), maxCount)}, {Hash: 2, Running: 3, PendingTokens: 4}}
+			if d := cmp.Diff(want, got.report.Loads); d != "" {
+				t.Error(d)
+			}
+		}
+	}
+}
+
+// Agents whose endpoints state a data centre each must not make an update too long to be
+// sent, or mix up the data centres.
+func TestManyDataCentresDontInvalidateUpdate(t *testing.T) {
+	const agents, maxPayload = 400, 65507
+	var update AgentUpdate
+	for i := range agents {
+		name := fmt.Sprintf("%d-%s", i, strings.Repeat("x", 240))
+		update.Peers = append(update.Peers, Agent{Host: netip.AddrFrom4([4]byte{10, 3, byte(i >> 8), byte(i)}), DataCentre: name})
+	}
+	b := encodeAgentUpdate(time.Now(), update)
+	got, err := decodeAgentUpdate(time.Now(), b[1:])
+	if err != nil || len(b) > maxPayload {
+		t.Fatalf("datagram of %d bytes, error %v", len(b), err)
+	}
+	for i, p := range got.Peers {
+		if p != update.Peers[i] {
+			t.Fatalf("agent %d decoded as %.40v", i, p)
+		}
+	}
+}
+
+// A version of weights that doesn't fit into a signed number is refused, not negative.
+func TestStatusWithOddVersionIsRefused(t *testing.T) {
+	for _, version := range []uint64{1<<62 + 1, 1 << 63, math.MaxUint64} {
+		b := binary.AppendUvarint(appendString(nil, "127.0.0.9:8080"), version)
+		if status, err := decodeEngineStatus(append(b, 0)); err == nil {
+			t.Errorf("version %d decoded as %d", version, status.Weights)
+		}
+	}
+}
+
 func TestLostReportPart(t *testing.T) {
 	m := &Mesh{partialReports: make(map[string]*reportPart)}
 	parts := encodeReport("entry-1", "a", 7, testReport(300, 0))
