--- a/internal/traffic/dispatch/selection.go
+++ b/internal/traffic/dispatch/selection.go
@@ -239,9 +239,13 @@
 	if inProgress == 0 {
 		currentPass = 0
 	}
-	return time.Duration((currentPass + promptTime + pass) * float64(time.Millisecond))
+	return time.Duration(min(currentPass+promptTime+pass, maxPrediction) * float64(time.Millisecond))
 }
 
+// maxPrediction is the longest predicted time, in ms. Engines for which it is longer, by
+// their specification, can still be compared.
+const maxPrediction = 1e9
+
 // selectEndpoint returns the endpoint with free capacity that is predicted to
 // respond soonest, with near ties broken at random. Designed for steady load on
 // unequally loaded engines, for bursts in which several entries send without seeing
--- a/internal/weights/chunk/exchange.go
+++ b/internal/weights/chunk/exchange.go
@@ -116,6 +116,9 @@
 		return
 	}
 	for _, i := range list {
+		if i < 0 || i >= s.Manifest().Chunks() {
+			continue
+		}
 		data, err := x.store.Chunk(ctx, v, i)
 		if err == nil && s.Manifest().Verify(i, data) == nil {
 			s.MarkHeld(i)
