process/gateway: don't use endpoints at own addresses, nor agents of unknown services

A registration that another writer has left may be valid and still name no endpoint. Two such reached further.

At an address of the gateway itself, requests returned to it as requests of a caller, which it sent on, to itself again at times, up to its slots; on the listener for readiness its own "ready" was taken for an endpoint's answer, and a connection of net/rpc for a broken one. Of 40 orders beside three such registrations and three sound endpoints, two got 502 (TestOwnAddressNamesNoEndpoint on the code before: "request 0: status 502", "request 3: status 502", "6 endpoints, want 3"). They are now counted and logged as records that can't be decoded. The check is made by each gateway for itself, since only it knows on what it listens.

The agents to which gateways send updates were those of all engines, also of a service that the configuration doesn't name ("an update of 23 bytes was sent to an address of an unknown service"). They are left out once there is a configuration. Such a registration is not a fault: an endpoint may register before the configuration names its service.

After: TestOwnAddressNamesNoEndpoint and TestUnknownServiceGetsNoUpdates pass. Requests that come back by way of another gateway's address are still limited by slots and deadlines only.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -311,10 +311,15 @@
 }
 
 // agents returns the hosts and data centres of the agents. There is one agent
-// beside each engine, on the engine's instance.
+// beside each engine, on the engine's instance. An endpoint of a service that the
+// configuration doesn't name is none.
 func (g *Gateway) agents() []sharing.Agent {
 	var out []sharing.Agent
+	c := g.catalogue.View().Catalogue()
 	for _, r := range g.roster.List() {
+		if c != nil && c.Service(r.Service) == nil {
+			continue
+		}
 		a, err := netip.ParseAddrPort(r.Address)
 		if err == nil && r.Engine && a.Addr().Is4() {
 			out = append(out, sharing.Agent{Host: a.Addr(), DataCentre: r.DataCentre})
@@ -327,6 +332,7 @@
 func (g *Gateway) applyRegistrations(b feed.Batch) {
 	now := time.Now()
 	before := g.roster.Version()
+	b = g.withoutOwn(b)
 	g.roster.Apply(now, b)
 	if g.roster.Version() != before {
 		g.log.Info("endpoints changed", "endpoints", len(g.roster.List()), "silence", b.SinceLastRead)
