fleet/feed: refuse an age out of range from a relay

A relay states the age of what it sends. It was subtracted from the time of the call unchecked: a negative or overflowing age makes state count as current, for the checks of keys and of readiness, until the process ends. TestOddAgeFromRelayIsRefused on the code before: "age -1ns: next 99, lag -1ns", and the same for the largest and smallest duration and an hour.

A relay refuses requests itself when its state is older than relayMaxAge, so a response beyond that, or of a negative age, is now an error, and the client asks the next relay or the store. After: the test passes.

--- a/internal/fleet/feed/fault_test.go
+++ b/internal/fleet/feed/fault_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -101,3 +102,23 @@
 		}
 	}
 }
+
+// An age of a relay's state that is out of range would make old state count as current, or
+// as current for ever.
+func TestOddAgeFromRelayIsRefused(t *testing.T) {
+	for _, age := range []time.Duration{-1, math.MinInt64, math.MaxInt64, time.Hour} {
+		store := &faultyFeed{offset: 3}
+		c := RelayClient{
+			Name: "registrations", Store: store, Relays: func() []string { return []string{"a", "b"} }, Log: slog.New(slog.DiscardHandler),
+			Call: func(_ context.Context, _, _ string, _, reply any) error {
+				*reply.(*ReadResponse) = ReadResponse{Next: 99, Age: age}
+				return nil
+			},
+		}
+		c.everRelayed = true
+		_, next, err := c.Newest(t.Context())
+		if err != nil || next != 10 || c.Lag() != 0 {
+			t.Errorf("age %v: next %d, lag %v, error %v; want the store's state", age, next, c.Lag(), err)
+		}
+	}
+}
--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -350,6 +350,9 @@
 	if err := f.Call(ctx, address, RelayName+".Read", req, &resp); err != nil {
 		return nil, 0, err
 	}
+	if resp.Age < 0 || resp.Age > relayMaxAge {
+		return nil, 0, &NotReadyError{Age: resp.Age} // a relay refuses the request itself
+	}
 	f.setSource(true, resp.Age, req.Whole && resp.Held)
 	if resp.Trimmed {
 		return nil, 0, &fulmardeal.TrimmedError{Stream: RelayName, First: fulmardeal.Offset(resp.Next.Offset())}
