--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -141,9 +141,10 @@
 	}
 	for _, c := range b.Changes {
 		w := cachedChange{WireChange: toWire(c), writtenAfter: writtenAfter}
-		if c.Gone || c.Fault != nil {
+		switch known, is := f.current[c.Key]; {
+		case c.Gone, c.Fault != nil && !(is && outlivesFault(known.Change)):
 			delete(f.current, c.Key)
-		} else {
+		case c.Fault == nil:
 			f.current[c.Key] = w
 		}
 		if !b.Full {
@@ -354,14 +355,17 @@
 	return f.age
 }
 
+// maxRelayedAge is the highest age of a change that a relay can state.
+const maxRelayedAge = time.Hour
+
 // maxAge returns the highest age of changes, or 0 if one is unknown.
 func maxAge(items []WireChange) time.Duration {
 	highest := time.Duration(0)
 	for _, w := range items {
-		if w.Age == 0 {
+		if w.Age <= 0 {
 			return 0
 		}
-		highest = max(highest, w.Age)
+		highest = max(highest, min(w.Age, maxRelayedAge))
 	}
 	return highest
 }
@@ -383,6 +387,9 @@
 	if err := f.Call(ctx, address, RelayName+".Read", req, &resp); err != nil {
 		return nil, 0, err
 	}
+	if resp.Age < 0 || resp.Age > relayMaxAge {
+		return nil, 0, &NotReadyError{Age: resp.Age} // a relay refuses the request itself
+	}
 	f.setSource(true, resp.Age, req.Whole && resp.Held, maxAge(resp.Items))
 	if resp.Trimmed {
 		return nil, 0, &fulmardeal.TrimmedError{Stream: RelayName, First: fulmardeal.Offset(resp.Next.Offset())}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -145,6 +145,7 @@
 	pulse          feed.Pulse
 	operator       *feed.Follower
 	registrations  *feed.Follower
+	faults         *feed.FaultLog
 	relay          feed.Relay         // serves the feeds to other entries
 	rpcServer      *connection.Server // for RPCs of other entries
 	stats          *Stats
@@ -181,6 +182,7 @@
 		store:          o.Store,
 		log:            o.Log,
 		stats:          stats,
+		faults:         feed.NewFaultLog(o.Log, stats.recordRefused),
 		metricsAddress: o.Metrics,
 		dumpWriter:     o.Dump,
 		retryBudgets:   make(map[string]*budget.RetryBudget),
@@ -196,7 +198,7 @@
 	address := net.JoinHostPort(o.Settings.IP, itoa(o.Settings.PortRange[0]))
 	mesh, closeMesh, err := sharing.NewMesh(sharing.Options{
 		Name: o.Settings.Name, DataCentre: o.Settings.DataCentre, Regions: o.Settings.Regions, Listen: address, Table: g.table, Quarantine: g.quarantine, EntryFeed: o.Store.Entries(), Announcer: o.Store,
-		Targets: func() []catalogue.Target { return g.catalogue.View().Targets() }, Agents: g.agents, AgentPort: uint16(o.Settings.PortRange[0]), Log: o.Log,
+		Targets: func() []catalogue.Target { return g.catalogue.View().Targets() }, Agents: g.agents, AgentPort: uint16(o.Settings.PortRange[0]), Log: o.Log, Faults: g.faults,
 	})
 	if err != nil {
 		cleanup()
@@ -241,7 +243,8 @@
 func (g *Gateway) newFollower(clients *connection.Pool, o feed.Options) *feed.Follower {
 	r := &feed.RelayClient{Name: o.Name, Store: o.Feed, Relays: g.relayAddresses, Log: g.log, Call: clients.Call}
 	apply := o.Apply
-	o.Feed, o.Pause, o.Lag, o.RelayAge, o.Pulse, o.Provisional, o.Log = r, r.Pause, r.Lag, r.Age, &g.pulse, r.Provisional, g.log
+	o.Feed, o.Pause, o.Lag, o.RelayAge, o.Pulse, o.Provisional = r, r.Pause, r.Lag, r.Age, &g.pulse, r.Provisional
+	o.Log, o.Faults = g.log, g.faults
 	o.Apply = func(b feed.Batch) { apply(g.relay.Put(o.Name, b)) }
 	f := feed.New(o)
 	g.relay.Add(o.Name, f.Age)
@@ -314,10 +317,15 @@
 }
 
 // agents returns the hosts and data centres of the agents. There is one agent
-// beside each engine, on the engine's instance.
+// beside each engine, on the engine's instance. An endpoint of a service that the
+// configuration doesn't name is none.
 func (g *Gateway) agents() []sharing.Agent {
 	var out []sharing.Agent
+	c := g.catalogue.View().Catalogue()
 	for _, r := range g.roster.List() {
+		if c != nil && c.Service(r.Service) == nil {
+			continue
+		}
 		a, err := netip.ParseAddrPort(r.Address)
 		if err == nil && r.Engine && a.Addr().Is4() {
 			out = append(out, sharing.Agent{Host: a.Addr(), DataCentre: r.DataCentre})
@@ -330,6 +338,7 @@
 func (g *Gateway) applyRegistrations(b feed.Batch) {
 	now := time.Now()
 	before := g.roster.Version()
+	b = g.withoutOwn(b)
 	g.roster.Apply(now, b)
 	if g.roster.Version() != before {
 		g.log.Info("endpoints changed", "endpoints", len(g.roster.List()), "silence", b.SinceLastRead)
