fleet/feed: count the age of a version from the end of an outage of the store

After an outage of the store in which a version was published, entries refused every request for model engines until the new weights came: they took the version to be as old as the outage, and the old weights to be unusable.

Operators don't count time in which the store is disturbed. A second failure in a row, on another connection, shows that it is, unless the process stood still meanwhile; the age then counts from the start of the last call that failed. A call on a connection that has gone silent fails once. The first read counts from the creation of the follower, by the same rule.

--- a/internal/fleet/catalogue/table.go
+++ b/internal/fleet/catalogue/table.go
@@ -40,36 +40,15 @@
 // safe for concurrent use.
 type Table struct {
 	mu      sync.Mutex
-	started time.Time                      // zero if unknown
 	offsets map[string]fulmardeal.Position // by key of a change, the offset of the last change applied to that key
 	view    atomic.Pointer[View]
 }
 
-// SetStarted sets when the process started. Without it, the process counts as started
-// when it first reads the store.
-func (t *Table) SetStarted(at time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.started = at
-}
-
-// startedBy returns when the process started, or now if that is unknown. The caller must
-// hold t.mu.
-func (t *Table) startedBy(now time.Time) time.Time {
-	if t.started.IsZero() {
-		return now
-	}
-	return t.started
-}
-
 // AddSuspended makes all published versions older by d. The times at which they were
 // published are readings of a clock that doesn't advance while the instance is suspended.
 func (t *Table) AddSuspended(d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.started.IsZero() {
-		t.started = t.started.Add(-d)
-	}
 	next := *t.View()
 	published := make(map[string][]PublishedVersion, len(next.published))
 	for model, versions := range next.published {
@@ -116,7 +95,7 @@
 	var events []Event
 	since := now.Add(-b.MaxAge)
 	if old.catalogue == nil && b.Full {
-		since = t.startedBy(now).Add(-assumedVersionAge)
+		since = since.Add(-assumedVersionAge)
 	}
 	for _, c := range b.Changes {
 		if known, seen := t.offsets[c.Key]; seen && c.Offset <= known {
--- a/internal/fleet/feed/age.go
+++ b/internal/fleet/feed/age.go
@@ -52,7 +52,7 @@
 }
 
 // changeAge returns an upper bound on the time since the changes of a read were written.
-// What the previous read, as of known, did not have was written after it. A change that
+// What the store did not have at the time known was written after it. A change that
 // the store or a relay was waiting for was sent on at once, and arrived when it was read,
 // unless the process stood still. A relay adds the bound that it knows itself.
 func changeAge(known, callStart, runningSince, now time.Duration, awaited bool, relayAge time.Duration) time.Duration {
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -34,8 +34,9 @@
 	Restored      bool                // the batch is the first one of an era: the store may lack what was already read
 	SinceLastRead time.Duration       // time since the previous successful read
 
-	// MaxAge is an upper bound on the time since the changes were written. It means
-	// nothing for the first read, whose changes may be of any age.
+	// MaxAge is an upper bound on the time since the changes were written, not counting
+	// what had passed when the store was last seen disturbed, or when the follower was
+	// created.
 	MaxAge time.Duration
 }
 
@@ -89,6 +90,7 @@
 	everKnown bool
 	lastKnown time.Duration // Options.Clock reading at which the state last read was still current
 	down      bool          // the last call failed
+	disturbed time.Duration // Options.Clock reading at which the store was last seen disturbed, or at which the follower was created
 
 	// confirmAt is the clock reading at which a full read is due that confirms the
 	// state after the store was restored; zero if none is. Only Run's goroutine uses
@@ -104,7 +106,7 @@
 	if o.Faults == nil {
 		o.Faults = NewFaultLog(o.Log, nil)
 	}
-	return &Follower{options: o}
+	return &Follower{options: o, disturbed: o.Clock()}
 }
 
 // Age returns the age of the last successful read of the store, and whether
@@ -174,7 +176,7 @@
 		return next, true, nil
 	}
 	if err != nil {
-		f.recordFailure(err)
+		f.recordFailure(callStart, err)
 		return next, full, err
 	}
 	if after < next {
@@ -211,7 +213,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return changeAge(f.lastKnown, callStart, runningSince, now, !full && len(changes) > 0 && changes[0].Awaited, relayAge)
+	return changeAge(max(f.lastKnown, f.disturbed), callStart, runningSince, now, !full && len(changes) > 0 && changes[0].Awaited, relayAge)
 }
 
 // scheduleConfirmation schedules the full read that decides about state which a
@@ -262,11 +264,18 @@
 	return f.down
 }
 
-func (f *Follower) recordFailure(err error) {
+// recordFailure records that a call has failed. The first one may be due to its connection
+// or to this process. A second one in a row, on another connection, shows that the store,
+// or the way there, is disturbed, unless the process stood still meanwhile.
+func (f *Follower) recordFailure(callStart time.Duration, err error) {
+	now := f.options.Clock()
+	stoodStill := f.options.Pulse != nil && f.options.Pulse.RunningSince(now) < min(now, callStart+maxBeatInterval)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.down {
 		f.options.Log.Warn("store lost", "feed", f.options.Name, "err", err)
+	} else if !stoodStill {
+		f.disturbed = max(f.disturbed, callStart)
 	}
 	f.down = true
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -190,7 +190,6 @@
 	g.table = dispatch.New(dispatch.Options{
 		DataCentre: o.Settings.DataCentre, Region: o.Settings.Region, Regions: o.Settings.Regions, Bounds: o.Settings.Bounds, Seed: o.Seed,
 	})
-	g.catalogue.SetStarted(time.Now())
 	g.quarantine = quarantine.New(quarantine.Options{Entry: o.Settings.Name, Seed: o.Seed})
 	pool, closePool := forward.NewPool(maxBufferedBytes(o.Settings.MemoryLimit))
 	g.pool = pool
