proof/soak: split the injection of faults of endpoints

Faults of answers and of connections that last for a while are tables now; what leaves guarantees in force is apart from what excuses something. No change of what is injected; go test -race ./internal/proof/soak passes.

--- a/internal/proof/soak/inject.go
+++ b/internal/proof/soak/inject.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"fulmardeal"
 	"fulmardeal/internal/standin/site"
 	"fulmardeal/platform"
 )
@@ -188,9 +189,24 @@
 		defer d.mu.Unlock()
 		d.busy[f.Target] = false
 	}()
-	e, proxy := d.endpoints[f.Target], d.endpointProxies[f.Target]
-	reg, _ := e.Registration()
-	switch f.Kind { // these leave all guarantees in force
+	if d.injectUndisturbing(f) {
+		return
+	}
+	reg, _ := d.endpoints[f.Target].Registration()
+	disturb := d.checker.Disturb
+	if f.Kind.disturbsLink() {
+		disturb = d.checker.DisturbLink
+	}
+	end := disturb(reg.Address)
+	defer end()
+	d.injectDisturbing(f, reg)
+}
+
+// injectUndisturbing causes a fault of an endpoint, or the part of it, that leaves all
+// guarantees in force. It reports whether that was all.
+func (d *deployment) injectUndisturbing(f Fault) bool {
+	e := d.endpoints[f.Target]
+	switch f.Kind {
 	case FaultLeave:
 		e.Leave()
 		time.Sleep(boundDrain + drainExtra)
@@ -198,30 +214,51 @@
 		e.SetFault(site.FaultShed)
 		time.Sleep(f.For)
 		e.SetFault(site.FaultNone)
-		return
+		return true
 	case FaultSilent:
 		e.Silence(f.For)
 		time.Sleep(f.For)
-		return
+		return true
 	case FaultRevert:
 		e.Revert()
-		return
+		return true
 	}
-	disturb := d.checker.Disturb
-	if f.Kind.disturbsLink() {
-		disturb = d.checker.DisturbLink
+	return false
+}
+
+// answerFaults are the faults of endpoints that last for a while.
+var answerFaults = map[Kind]site.Fault{
+	FaultRepeat:     site.FaultRepeat,
+	FaultErrorText:  site.FaultErrorText,
+	FaultSecondHead: site.FaultSecondHead,
+	FaultSlow:       site.FaultSlow,
+	FaultCutAnswers: site.FaultTruncate,
+	FaultHang:       site.FaultHang,
+	FaultEndless:    site.FaultEndless,
+}
+
+// linkFaults are the faults of the connections to an endpoint that last for a while.
+var linkFaults = map[Kind]site.ProxyFaults{
+	FaultDelay:        {Delay: 30 * time.Millisecond},
+	FaultHoldRequests: {HoldToTarget: true},
+	FaultHoldAnswers:  {HoldToCaller: true},
+	FaultRefuse:       {ResetNew: true},
+}
+
+// injectDisturbing causes a fault that excuses what it disturbs.
+func (d *deployment) injectDisturbing(f Fault, reg fulmardeal.Registration) {
+	e, proxy := d.endpoints[f.Target], d.endpointProxies[f.Target]
+	if fault, is := answerFaults[f.Kind]; is {
+		e.SetFault(fault)
+		time.Sleep(f.For)
+		e.SetFault(site.FaultNone)
+		return
 	}
-	end := disturb(reg.Address)
-	defer end()
-	injectProxyFaults := func(faults site.ProxyFaults) {
+	if faults, is := linkFaults[f.Kind]; is {
 		proxy.SetFaults(faults)
 		time.Sleep(f.For)
 		proxy.SetFaults(site.ProxyFaults{})
-	}
-	injectEndpointFault := func(fault site.Fault) {
-		e.SetFault(fault)
-		time.Sleep(f.For)
-		e.SetFault(site.FaultNone)
+		return
 	}
 	switch f.Kind {
 	case FaultCrash, FaultPowerLoss, FaultLeave:
@@ -235,36 +272,14 @@
 		d.restartEndpoint(f.Target, false)
 	case FaultMute:
 		proxy.Mute()
+	case FaultReset:
+		proxy.Reset()
 	case FaultSameID, FaultSameIDFirst:
 		d.restartAs(f.Target, f.Kind == FaultSameIDFirst)
 	case FaultStale:
 		e.Stale(endpointRestartDelay+f.For, endpointRestartDelay+reportLag)
 		d.restartAs(f.Target, true)
 		time.Sleep(f.For)
-	case FaultRepeat:
-		injectEndpointFault(site.FaultRepeat)
-	case FaultErrorText:
-		injectEndpointFault(site.FaultErrorText)
-	case FaultSecondHead:
-		injectEndpointFault(site.FaultSecondHead)
-	case FaultSlow:
-		injectEndpointFault(site.FaultSlow)
-	case FaultCutAnswers:
-		injectEndpointFault(site.FaultTruncate)
-	case FaultHang:
-		injectEndpointFault(site.FaultHang)
-	case FaultEndless:
-		injectEndpointFault(site.FaultEndless)
-	case FaultDelay:
-		injectProxyFaults(site.ProxyFaults{Delay: 30 * time.Millisecond})
-	case FaultReset:
-		proxy.Reset()
-	case FaultHoldRequests:
-		injectProxyFaults(site.ProxyFaults{HoldToTarget: true})
-	case FaultHoldAnswers:
-		injectProxyFaults(site.ProxyFaults{HoldToCaller: true})
-	case FaultRefuse:
-		injectProxyFaults(site.ProxyFaults{ResetNew: true})
 	}
 }
 
