fleet/feed: stalls that follow closely on each other count as one

An entry that is stopped again shortly after it was resumed, or that gets a small share of the processor in long slices, may not read in between what arrived during the first stall. Only the last stall was remembered, so that a change that came during the first one was taken to be younger by the time from the first to the last, and old weights were used for as much longer.

A stall that begins within the time for which the one before may have left a backlog now continues it, also when it hasn't ended yet.

TestAgeOfChangeReadLate, new rows, before (known, start of the call, now, stalls, bound):

10 10 13.5 10.5-12,12.1-13.4 waits 3: got 1.4s, want 3s 10 10 13.4 10.5-12,12.05- waits 2.9: got 1.35s, want 2.9s

After: passes.

--- a/internal/fleet/feed/age.go
+++ b/internal/fleet/feed/age.go
@@ -21,8 +21,8 @@
 type Pulse struct {
 	mu         sync.Mutex
 	last       time.Duration // time of the last beat
-	stallStart time.Duration // last beat before the last stall
-	stallEnd   time.Duration // first beat after it; zero if there was none
+	stallStart time.Duration // last beat before the first of the last stalls that followed closely on each other
+	stallEnd   time.Duration // first beat after the last of them; zero if there was none
 }
 
 // Beat records that the process runs. It is to be called at intervals well below
@@ -31,24 +31,30 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.last != 0 && now-p.last > maxBeatInterval {
-		p.stallStart, p.stallEnd = p.last, now
+		p.stallStart, p.stallEnd = p.backlogSince(p.last), now
 	}
 	p.last = now
 }
 
+// backlogSince returns the start of the stall whose backlog the process may still work
+// through at the given time, or that time if there is none. The caller must hold p.mu.
+func (p *Pulse) backlogSince(now time.Duration) time.Duration {
+	if p.stallEnd != 0 && now-p.stallEnd < stallMemory {
+		return p.stallStart
+	}
+	return now
+}
+
 // RunningSince returns a time since which the process has run, as far as that may have
 // delayed what it reads now: now itself, unless a stall ended a short time ago. It
 // returns 0 if there was no beat.
 func (p *Pulse) RunningSince(now time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	switch {
-	case p.last == 0 || now-p.last > maxBeatInterval:
-		return p.last
-	case p.stallEnd != 0 && now-p.stallEnd < stallMemory:
-		return p.stallStart
+	if p.last == 0 || now-p.last > maxBeatInterval {
+		return p.backlogSince(p.last)
 	}
-	return now
+	return p.backlogSince(now)
 }
 
 // changeAge returns an upper bound on the time since the changes of a read were written.
--- a/internal/fleet/feed/age_test.go
+++ b/internal/fleet/feed/age_test.go
@@ -21,28 +21,38 @@
 }
 
 // observed returns a pulse that has beaten every 50 ms from 1 s before until the given
-// time, except between the two times of a stall.
-func observed(t *testing.T, now time.Duration, stall string) *Pulse {
+// time, except between the two times of each stall.
+func observed(t *testing.T, now time.Duration, stalls string) *Pulse {
 	t.Helper()
 	p := &Pulse{}
-	if stall == "none" {
+	if stalls == "none" {
 		return p
 	}
-	from, to := time.Duration(math.MaxInt64), time.Duration(0)
-	if first, last, _ := strings.Cut(stall, "-"); first != "" {
-		from, to = seconds(t, first), math.MaxInt64
+	stalled := make(map[time.Duration]bool)
+	for stall := range strings.SplitSeq(stalls, ",") {
+		first, last, _ := strings.Cut(stall, "-")
+		if first == "" {
+			continue
+		}
+		to := now + 1
 		if last != "" {
 			to = seconds(t, last)
 		}
+		for at := seconds(t, first) + beatInterval; at < to; at += beatInterval {
+			stalled[at] = true
+		}
 	}
-	for at := 9 * time.Second; at <= now; at += 50 * time.Millisecond {
-		if at <= from || at >= to {
+	for at := 9 * time.Second; at <= now; at += beatInterval {
+		if !stalled[at] {
 			p.Beat(at)
 		}
 	}
 	return p
 }
 
+// beatInterval is the time between two beats of the tests.
+const beatInterval = 50 * time.Millisecond
+
 // A process that stood still, or whose call went silent, reads a change late. Its age
 // must not be counted from then.
 func TestAgeOfChangeReadLate(t *testing.T) {
