fleet/feed: a stall about the start of a call hides whether it waited

A response that comes 100 ms after its call shows that the store was waiting for the record, unless it is this process that was late. An entry that has just been resumed has a backlog, and one that stands still right after it has sent the call finds the response when it wakes. In both cases the record may have been there before the call, since the last successful read; its age was bounded by the time since the call, or since the stall, in place of the time since that read.

The bound is now only used if the process ran for 100 ms while the call waited, with no stall shortly before.

--- a/internal/fleet/feed/age.go
+++ b/internal/fleet/feed/age.go
@@ -13,6 +13,10 @@
 	// stallMemory is how long after its end a stall may have delayed what the process
 	// reads. A process that has just been resumed works through a backlog.
 	stallMemory = time.Second
+
+	// minWait is how long a process must have run while a call waited before a late
+	// response shows that the store had nothing to send.
+	minWait = 100 * time.Millisecond
 )
 
 // Pulse detects intervals in which the process did not run, for example because it was
@@ -60,14 +64,16 @@
 // changeAge returns an upper bound on the time since the changes of a read were written.
 // What the previous read, as of known, did not have was written after it. A change that
 // the store or a relay was waiting for was sent on at once, and arrived when it was read,
-// unless the process stood still. A relay adds the bound that it knows itself.
+// unless the process stood still. A process that stood still as soon as it had made the
+// call, or before, can't tell such a change from one that it has read late. A relay adds
+// the bound that it knows itself.
 func changeAge(known, callStart, runningSince, now time.Duration, awaited bool, relayAge time.Duration) time.Duration {
 	transit := now - max(callStart, min(runningSince, now))
 	age := now - known
 	switch {
 	case relayAge > 0:
 		age = min(age, relayAge+transit)
-	case awaited:
+	case awaited && runningSince-callStart > minWait:
 		age = min(age, transit)
 	}
 	return max(0, age)
