fleet/feed: state that a relay sent isn't newer than the relay's wait

An empty response tells that the state known before was current until the end of the call's wait. The wait was taken to be that of the store's calls, 1.5 s, also if a relay had answered, which waits for 0.6 s. If the client stood still meanwhile and read the response late, its state counted as up to 0.9 s newer than it is. The next changes then counted as younger by as much, so that old weights were used for longer, and keys of customers as confirmed for longer, whose margin is 0.4 s.

TestRelayedStateReadLate, before (with the new option set and not used):

the relay sent its state 1.9s ago, 100ms old; it counts as 1.1s old

After: passes.

--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -58,6 +58,10 @@
 	// was sent. A nil Lag means 0.
 	Lag func() time.Duration
 
+	// Waited returns how long the source of the last response, which had no changes, had
+	// waited at least for one, of the time that it was given. A nil Waited means all of it.
+	Waited func(wait time.Duration) time.Duration
+
 	// RelayAge returns an upper bound on the time that had passed since the changes in
 	// the last response were written, when a relay sent it; 0 if a relay didn't send it
 	// or didn't know. A nil RelayAge means 0.
@@ -186,6 +190,9 @@
 	if !full && len(changes) == 0 {
 		// The response is empty because the store had no change until the end of the
 		// wait, so the state already known was still current then.
+		if f.options.Waited != nil {
+			wait = f.options.Waited(wait)
+		}
 		asOf = min(callStart+wait, f.options.Clock())
 	}
 	if f.options.Lag != nil {
--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -339,6 +339,17 @@
 	return f.lag
 }
 
+// Waited returns how long the source of the last response waited for a change at least, if
+// it found none in the given time.
+func (f *RelayClient) Waited(wait time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.relayed {
+		return min(wait, relayPollWait)
+	}
+	return wait
+}
+
 // Provisional reports whether the last response was a full read with state that a
 // restored store lacks, and that the relay still holds.
 func (f *RelayClient) Provisional() bool {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -243,7 +243,7 @@
 func (g *Gateway) newFollower(clients *connection.Pool, o feed.Options) *feed.Follower {
 	r := &feed.RelayClient{Name: o.Name, Store: o.Feed, Relays: g.relayAddresses, Log: g.log, Call: clients.Call}
 	apply := o.Apply
-	o.Feed, o.Pause, o.Lag, o.RelayAge, o.Pulse, o.Provisional = r, r.Pause, r.Lag, r.Age, &g.pulse, r.Provisional
+	o.Feed, o.Pause, o.Lag, o.Waited, o.RelayAge, o.Pulse, o.Provisional = r, r.Pause, r.Lag, r.Waited, r.Age, &g.pulse, r.Provisional
 	o.Log, o.Faults = g.log, g.faults
 	o.Apply = func(b feed.Batch) { apply(g.relay.Put(o.Name, b)) }
 	f := feed.New(o)
