process/gateway: a suspension doesn't undo what a follower reads

When the gateway noticed that its instance had been suspended, it applied the registrations and the configuration to the table without the lock that the two followers hold for it. What a follower had applied meanwhile could be replaced by the older state: endpoints, routes and new weights were out of force until the next change.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -437,8 +437,7 @@
 		g.pulse.Beat(uptime)
 		if d := suspension.Elapsed(now, uptime); d > 0 {
 			g.log.Warn("instance was suspended", "for", d)
-			g.catalogue.AddSuspended(d)
-			g.table.Refresh(now, g.roster.List(), g.catalogue.View())
+			g.addSuspended(now, d)
 		}
 		if now.Sub(lastGauges) >= reportInterval {
 			lastGauges = now
@@ -451,6 +450,12 @@
 	}
 }
 
+// addSuspended records that the instance was suspended for d.
+func (g *Gateway) addSuspended(now time.Time, d time.Duration) {
+	g.catalogue.AddSuspended(d)
+	g.refreshTable(now)
+}
+
 // ready reports whether the load balancer should send requests to this entry,
 // and the reason for the response body.
 func (g *Gateway) ready() (bool, string) {
