traffic/dispatch: name the newest weights while the first may still be used

An engine that an entry takes for one with the new weights, and that holds the old ones, refuses a request that names the version. Requests named it only if they were sent in the last 1.3 s of the old weights' time or later. One that was sent before, and waited in the engine, began on the old weights when their time was over; nothing withdrew it, because the entry believed the engine to hold weights that have no end.

A request now names the newest published version at all times. An engine can't hold a newer one, unless the entry learns of it late; then the engine refuses, its answer corrects the entry, and the request is tried again. Versions that are not the newest are named as before, so a request to an engine that is wrongly taken for one with the last version but one is still not covered if it waits in the engine for over 1.3 s.

TestRequestWaitsInEngineWithOldWeights, before:

8 of 8 requests began on the old weights later than 3s after the publication, want none

After: passes.

The price in refusals at a change of versions on the platform was not measured.

--- a/internal/process/gateway/weights_test.go
+++ b/internal/process/gateway/weights_test.go
@@ -99,3 +99,39 @@
 		t.Errorf("%d of %d requests began on the old weights later than %v after the publication, want 0 of some", late, all, bound)
 	}
 }
+
+// An engine that is taken for one with the new weights lets requests wait, and begins them
+// when the time of the old ones is over.
+func TestRequestWaitsInEngineWithOldWeights(t *testing.T) {
+	t.Parallel()
+	const bound, wait = 3 * time.Second, 1600 * time.Millisecond
+	engine := &oldEngine{}
+	w := startGateway(t, func(w *testGateway) {
+		w.bounds.VersionSwitch = bound
+		w.configure(versionCatalogue())
+		for _, id := range []string{"i-1", "i-2", "i-3"} {
+			address := w.endpoint(id, "llm", "a", func(rw http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body)
+				select {
+				case <-time.After(wait):
+					engine.serve(rw, r)
+				case <-r.Context().Done():
+				}
+			})
+			w.register(fulmardeal.Registration{ID: id, Service: "llm", Address: address, DataCentre: "a", Slots: 4, Engine: true, Spans: []fulmardeal.Span{{To: 1, Version: 2}}})
+		}
+	})
+	published := time.Now()
+	w.store.put("operator", fulmardeal.Change{Key: "version/m", Naming: &fulmardeal.Publication{Model: "m", Version: 2}})
+	end := published.Add(bound)
+	time.Sleep(time.Until(end.Add(50*time.Millisecond - wait)))
+	var calls sync.WaitGroup
+	for range 8 {
+		calls.Go(func() { w.call("POST", "/verse/", nil) })
+		time.Sleep(20 * time.Millisecond)
+	}
+	calls.Wait()
+	if all, late := engine.startedAfter(end); late > 0 {
+		t.Errorf("%d of %d requests began on the old weights later than %v after the publication, want none", late, all, bound)
+	}
+}
--- a/internal/traffic/dispatch/reservation.go
+++ b/internal/traffic/dispatch/reservation.go
@@ -51,9 +51,13 @@
 	if s == nil || len(s.Models) == 0 || r.weights <= firstVersion {
 		return 0
 	}
-	end, superseded := t.weightsEnd(s.Models[0].Name, firstVersion)
-	if !superseded || now.Before(end.Add(-supersededMargin)) {
-		return 0 // the engine may serve the request with any version that there is
+	model := s.Models[0].Name
+	end, superseded := t.weightsEnd(model, firstVersion)
+	if !superseded {
+		return 0
+	}
+	if r.weights < t.view.PublishedVersion(model).Version && now.Before(end.Add(-supersededMargin)) {
+		return 0 // the engine may have changed over, and may serve the request with any version that there is
 	}
 	return r.weights
 }
