--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -242,7 +242,7 @@
 func (g *Gateway) newFollower(clients *connection.Pool, o feed.Options) *feed.Follower {
 	r := &feed.RelayClient{Name: o.Name, Store: o.Feed, Relays: g.relayAddresses, Log: g.log, Call: clients.Call}
 	apply := o.Apply
-	o.Feed, o.Pause, o.Lag, o.RelayAge, o.Pulse, o.Provisional = r, r.Pause, r.Lag, r.Age, &g.pulse, r.Provisional
+	o.Feed, o.Pause, o.Lag, o.Waited, o.RelayAge, o.Pulse, o.Provisional = r, r.Pause, r.Lag, r.Waited, r.Age, &g.pulse, r.Provisional
 	o.Log, o.Faults = g.log, g.faults
 	o.Apply = func(b feed.Batch) { apply(g.relay.Put(o.Name, b)) }
 	f := feed.New(o)
@@ -436,8 +436,7 @@
 		g.pulse.Beat(uptime)
 		if d := suspension.Elapsed(now, uptime); d > 0 {
 			g.log.Warn("instance was suspended", "for", d)
-			g.catalogue.AddSuspended(d)
-			g.table.Refresh(now, g.roster.List(), g.catalogue.View())
+			g.addSuspended(now, d)
 		}
 		if now.Sub(lastGauges) >= reportInterval {
 			lastGauges = now
@@ -450,6 +449,12 @@
 	}
 }
 
+// addSuspended records that the instance was suspended for d.
+func (g *Gateway) addSuspended(now time.Time, d time.Duration) {
+	g.catalogue.AddSuspended(d)
+	g.refreshTable(now)
+}
+
 // ready reports whether the load balancer should send requests to this entry,
 // and the reason for the response body.
 func (g *Gateway) ready() (bool, string) {
