--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -349,15 +349,6 @@
 	}
 }
 
-// refreshTable applies the registrations and the configuration in force to the table. Both
-// are followed concurrently: what one follower has read must not be replaced by an older
-// state that the other one took before.
-func (g *Gateway) refreshTable(now time.Time) {
-	g.refreshing.Lock()
-	defer g.refreshing.Unlock()
-	g.table.Refresh(now, g.roster.List(), g.catalogue.View())
-}
-
 // Run runs the gateway until the context ends, then shuts it down gracefully.
 func (g *Gateway) Run(ctx context.Context) error {
 	if g.settings.MemoryLimit > 0 {
@@ -450,12 +441,6 @@
 	}
 }
 
-// addSuspended records that the instance was suspended for d.
-func (g *Gateway) addSuspended(now time.Time, d time.Duration) {
-	g.catalogue.AddSuspended(d)
-	g.refreshTable(now)
-}
-
 // ready reports whether the load balancer should send requests to this entry,
 // and the reason for the response body.
 func (g *Gateway) ready() (bool, string) {
