process/gateway: name the weights of a resumed stream whose answer named none

A stream that broke off was resumed on any weights if its first answer didn't say which weights had made it: the version of the answer, 0, replaced the one that the engine is taken to hold. The rest could come from weights that may not be used any longer.

TestResumedStreamNamesWeights, before: `versions required: ["2" ""], want ["2" "2"]`. The version of the first answer now counts only if there was one.

--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -134,8 +134,10 @@
 		WeightsVersion: reservation.RequiredWeights(time.Now()),
 		LastEventID:    c.progress.resumeAfter(c.metadata.LastEventID),
 	}
-	if c.progress.started {
+	if c.progress.weights != 0 {
 		forwarded.WeightsVersion = c.progress.weights
+	}
+	if c.progress.started {
 		forwarded.Priority = 0 // most urgent: its caller is waiting in the middle of a response
 	}
 	request := c.request
--- a/internal/process/gateway/weights_test.go
+++ b/internal/process/gateway/weights_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -135,3 +136,35 @@
 		t.Errorf("%d of %d requests began on the old weights later than %v after the publication, want none", late, all, bound)
 	}
 }
+
+// A stream whose first answer doesn't say which weights made it is resumed on an engine
+// that must hold the ones that it is taken to hold.
+func TestResumedStreamNamesWeights(t *testing.T) {
+	var mu sync.Mutex
+	var required []string
+	w := startGateway(t, func(w *testGateway) {
+		w.bounds.VersionSwitch = 3 * time.Second
+		w.configure(versionCatalogue())
+		w.store.put("operator", fulmardeal.Change{Key: "version/m", Naming: &fulmardeal.Publication{Model: "m", Version: 2}})
+		for _, id := range []string{"i-1", "i-2"} {
+			address := w.endpoint(id, "llm", "a", func(rw http.ResponseWriter, r *http.Request) {
+				mu.Lock()
+				required = append(required, r.Header.Get("X-Fulmardeal-Expect-Version"))
+				first := len(required) == 1
+				mu.Unlock()
+				fmt.Fprint(rw, "id: 1\ndata: x\n\n")
+				_ = http.NewResponseController(rw).Flush()
+				if first {
+					hangUp(rw, r)
+				}
+			})
+			w.register(fulmardeal.Registration{ID: id, Service: "llm", Address: address, DataCentre: "a", Slots: 4, Engine: true, Spans: []fulmardeal.Span{{To: 1, Version: 2}}})
+		}
+	})
+	w.call("POST", "/verse/", nil)
+	mu.Lock()
+	defer mu.Unlock()
+	if want := []string{"2", "2"}; !slices.Equal(required, want) {
+		t.Errorf("versions required: %q, want %q", required, want)
+	}
+}
