proof/soak: an entry that was just restarted is excused for old weights

Trace (log kept): the entry had been stopped by SIGTERM and started again at 02:48:06.5, read version 2 at 06.542 and took it to be 5 s old; the request came at 06.796, to an engine that had gone back to version 1 by a fault of the soak. Operators excuse an entry for 3 s after a SIGTERM or a start, in which it may know no better. The check excused a kill, not a planned stop. It now excuses the entry itself for 3 s after its start, which three new cases of TestChecker delimit.

--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -195,6 +195,28 @@
 		{"old weights, a process out of touch before", read, func(f *fixture) { f.runOld(f.Disturb, "entry-0", 0, 8100*time.Millisecond) }, GuaranteeWeightsVersion},
 		{"old weights, the entry out of touch", read, func(f *fixture) { f.runOld(f.Disturb, "entry-0", 6*time.Second, 2500*time.Millisecond) }, ""},
 		{"old weights, another entry out of touch", read, func(f *fixture) { f.runOld(f.Disturb, "entry-1", 6*time.Second, 2500*time.Millisecond) }, GuaranteeWeightsVersion},
+		{"old weights, the entry just restarted", read, func(f *fixture) {
+			f.Published(2)
+			f.arrival.Version = 1
+			f.delay(5600 * time.Millisecond)
+			f.Restarted("entry-0")
+			f.delay(2900 * time.Millisecond)
+			f.run()
+		}, ""},
+		{"old weights, the entry restarted before", read, func(f *fixture) {
+			f.Published(2)
+			f.arrival.Version = 1
+			f.Restarted("entry-0")
+			f.delay(8100 * time.Millisecond)
+			f.run()
+		}, GuaranteeWeightsVersion},
+		{"old weights, another entry just restarted", read, func(f *fixture) {
+			f.Published(2)
+			f.arrival.Version = 1
+			f.delay(8100 * time.Millisecond)
+			f.Restarted("entry-1")
+			f.run()
+		}, GuaranteeWeightsVersion},
 		{"old weights, a link disturbed", read, func(f *fixture) { f.runOld(f.DisturbLink, "endpoint-3", time.Second, 7900*time.Millisecond) }, ""},
 		{"old weights, long after a link was disturbed", read, func(f *fixture) { f.runOld(f.DisturbLink, "endpoint-3", time.Second, 8100*time.Millisecond) }, GuaranteeWeightsVersion},
 		{"old weights, long before a link was disturbed", read, func(f *fixture) { f.runOld(f.DisturbLink, "endpoint-3", 8100*time.Millisecond, time.Second) }, GuaranteeWeightsVersion},
--- a/internal/proof/soak/notice.go
+++ b/internal/proof/soak/notice.go
@@ -36,6 +36,12 @@
 	c.restarts = append(c.restarts, restart{scope: scope, at: time.Now()})
 }
 
+// justRestarted reports whether a process was restarted by a planned stop in the settleTime
+// before the given time. c.mu must be held.
+func (c *Checker) justRestarted(at time.Time, scope string) bool {
+	return slices.ContainsFunc(c.restarts, func(r restart) bool { return r.scope == scope && at.Sub(r.at) < settleTime })
+}
+
 // NoticeSent records that an endpoint says that it is leaving, or asks for a pause.
 func (c *Checker) NoticeSent(a site.ReceivedRequest, leaving bool, pause time.Duration) {
 	c.mu.Lock()
