process/gateway: failing test of endpoints that name a limit

The test has two to eight entries that share a store, and one to three endpoints that name a limit beside a free one.

--- /dev/null
+++ b/internal/process/gateway/limit_test.go
@@ -0,0 +1,257 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Bounds on the requests that an endpoint with a limit may get.
+const (
+	limitContact = 3 * time.Second // from its first naming of the limit until the limit is kept
+	limitWindow  = 4 * time.Second // in which its requests are counted
+	limitFactor  = 1.5             // by which they may exceed the limit
+	limitSlack   = 5               // requests in addition
+)
+
+// limitLoad is a load on several entries that share a store.
+type limitLoad struct {
+	name    string
+	entries int
+	limited int // endpoints that name the limit
+	limit   float64
+	uneven  bool // most callers are at the first entry
+}
+
+// readLimitLoads reads a table of loads.
+func readLimitLoads(t *testing.T, name string) []limitLoad {
+	t.Helper()
+	f, err := os.Open(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	var loads []limitLoad
+	for scanner := bufio.NewScanner(f); scanner.Scan(); {
+		columns := strings.Fields(scanner.Text())
+		if len(columns) == 0 || strings.HasPrefix(columns[0], "#") {
+			continue
+		}
+		l := limitLoad{name: columns[0], uneven: columns[4] == "uneven"}
+		var errs [3]error
+		l.entries, errs[0] = strconv.Atoi(columns[1])
+		l.limited, errs[1] = strconv.Atoi(columns[2])
+		l.limit, errs[2] = strconv.ParseFloat(columns[3], 64)
+		for _, err := range errs {
+			if err != nil {
+				t.Fatalf("%s: %s: %v", name, columns[0], err)
+			}
+		}
+		loads = append(loads, l)
+	}
+	return loads
+}
+
+// limitedEndpoint is an endpoint that may name a limit in its answers. It is safe for
+// concurrent use.
+type limitedEndpoint struct {
+	mu       sync.Mutex
+	limit    string // what it names; nothing if empty
+	named    time.Time
+	arrivals []time.Time
+}
+
+// serve answers a request.
+func (e *limitedEndpoint) serve(rw http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	e.mu.Lock()
+	e.arrivals = append(e.arrivals, now)
+	if e.limit != "" {
+		rw.Header().Set("Server-Limit", e.limit)
+		if e.named.IsZero() {
+			e.named = now
+		}
+	}
+	e.mu.Unlock()
+	time.Sleep(20 * time.Millisecond)
+	if strings.HasPrefix(r.RequestURI, "/stream/") {
+		_, _ = io.WriteString(rw, "id: 1\ndata: x\n\n")
+		return
+	}
+	_, _ = io.WriteString(rw, "ok")
+}
+
+// name makes the endpoint name a limit from now on, or none.
+func (e *limitedEndpoint) name(limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit, e.named = limit, time.Time{}
+}
+
+// received returns the number of requests that have arrived since a time.
+func (e *limitedEndpoint) received(since time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, at := range e.arrivals {
+		if at.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// most returns the most requests that have arrived within a window after a time.
+func (e *limitedEndpoint) most(since time.Time, window time.Duration) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range e.arrivals {
+		if at.Before(since) {
+			first = i + 1
+			continue
+		}
+		for at.Sub(e.arrivals[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// check checks what the endpoint got from contact on: no more than allowed in any window,
+// and no less than three quarters of what it takes, one request less because the rate
+// doesn't have to divide the time.
+func (e *limitedEndpoint) check(t *testing.T, id string, limit float64) {
+	t.Helper()
+	e.mu.Lock()
+	named := e.named
+	e.mu.Unlock()
+	if named.IsZero() {
+		t.Errorf("%s: never named its limit", id)
+		return
+	}
+	from := named.Add(limitContact)
+	if n, allowed := e.most(from, limitWindow), limitFactor*limit*limitWindow.Seconds()+limitSlack; float64(n) > allowed {
+		t.Errorf("%s: %d requests in %v at a limit of %g a second; allowed %g", id, n, limitWindow, limit, allowed)
+	}
+	if n, least := e.received(from), 0.75*limit*time.Since(from).Seconds()-1; float64(n) < least {
+		t.Errorf("%s: %d requests in %v at a limit of %g a second; it takes more than %.1f", id, n, time.Since(from), limit, least)
+	}
+}
+
+// limitSite is entries that share a store, and callers at them.
+type limitSite struct {
+	t       *testing.T
+	store   *memStore
+	entries []*testGateway
+	callers sync.WaitGroup
+
+	mu       sync.Mutex
+	statuses map[int]int // of the answers
+	slowest  time.Duration
+	unhinted int // refusals without a Retry-After
+}
+
+func startLimitSite(t *testing.T, entries int) *limitSite {
+	t.Helper()
+	s := &limitSite{t: t, store: newMemStore(), statuses: make(map[int]int)}
+	for i := range entries {
+		s.entries = append(s.entries, launchGateway(t, fmt.Sprintf("front-%d", i+1), s.store, func(w *testGateway) {
+			if i == 0 {
+				w.configure(catalogue(1))
+			}
+		}))
+	}
+	time.Sleep(300 * time.Millisecond) // until the entries know each other
+	return s
+}
+
+// endpoint starts an endpoint of the service "shop".
+func (s *limitSite) endpoint(id string) *limitedEndpoint {
+	e := &limitedEndpoint{}
+	s.entries[0].endpoint(id, "shop", "a", e.serve)
+	return e
+}
+
+// callersPaths are the paths that callers use in turn.
+var callersPaths = []string{"/read/", "/order/", "/stream/"}
+
+// call sends a request to an entry and records the answer.
+func (s *limitSite) call(entry, n int) {
+	start := time.Now()
+	a := s.entries[entry].call("POST", callersPaths[n%len(callersPaths)], nil)
+	took := time.Since(start)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.statuses[a.status]++
+	if a.status == http.StatusServiceUnavailable {
+		s.slowest = max(s.slowest, took)
+		if a.header.Get("Retry-After") == "" {
+			s.unhinted++
+		}
+	}
+}
+
+// load sends requests for a time. If it is uneven, nine of ten go to the first entry.
+func (s *limitSite) load(rate float64, d time.Duration, uneven bool) {
+	time.Sleep(500 * time.Millisecond) // until all entries know the endpoints
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
+	defer ticker.Stop()
+	end := time.Now().Add(d)
+	for n := 0; time.Now().Before(end); n++ {
+		<-ticker.C
+		entry := n % len(s.entries)
+		if uneven && n%10 != 0 {
+			entry = 0
+		}
+		s.callers.Go(func() { s.call(entry, n) })
+	}
+	s.callers.Wait()
+}
+
+// refused returns the number of answers that are no success.
+func (s *limitSite) refused() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for status, count := range s.statuses {
+		if status != http.StatusOK {
+			n += count
+		}
+	}
+	return n
+}
+
+// Several entries together send an endpoint no more requests than it takes, and as many as
+// it takes.
+func TestRequestsAboveEndpointsLimit(t *testing.T) {
+	t.Parallel()
+	for _, l := range readLimitLoads(t, "testdata/limits.txt") {
+		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
+			s := startLimitSite(t, l.entries)
+			var limited []*limitedEndpoint
+			for i := range l.limited {
+				e := s.endpoint(fmt.Sprintf("i-limited-%d", i+1))
+				e.name(strconv.FormatFloat(l.limit, 'f', -1, 64))
+				limited = append(limited, e)
+			}
+			s.endpoint("i-free")
+			s.load(80, limitContact+limitWindow+2*time.Second, l.uneven)
+			for i, e := range limited {
+				e.check(t, fmt.Sprintf("i-limited-%d", i+1), l.limit)
+			}
+			if n := s.refused(); n > 0 {
+				t.Errorf("%d callers got no success beside a free endpoint: %v", n, s.statuses)
+			}
+		})
+	}
+}
