traffic/ratelimit, process/gateway: keep the limit that an endpoint names, over all entries

Cause: the header was not decoded. Nothing in an entry knew of a rate that all entries keep together but for the cold rate, of which each entry took its share, and at least one a second.

Ruled out: that entries share the limit and the shares add up to more, and that only those that were told keep it. Both would show as a lower rate from 8 s on.

Change: one entry issues grants for an endpoint, at the rate of its limit; which one follows from a hash over the entries that are heard. The others ask it, and send a request only with a grant, which is checked again when the request is sent. Unused grants go back. Equal shares were weighed and left: with 53 entries one request of each is 53 where 14 are allowed. Cold endpoints of which each entry's share is below one a second use grants too. If all endpoints of a service are at their limits, a request that can't be sent in time is refused at once, and told when its turn is.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -63,6 +63,7 @@
 	ended    bool // no further update follows
 	result   attemptResult
 	outcome  dispatch.Outcome
+	withheld bool // nothing was sent to the endpoint, deliberately
 }
 
 // run makes the attempt and reports its end. The slot is free by then. The context of the
@@ -119,6 +120,7 @@
 		c.log.Warn("response is not the answer to the request", "endpoint", e.ID(), "got", r.AttemptID, "status", x.Status(), "reused", x.Reused())
 		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 	}
+	a.applyLimit(x.Status(), r)
 	if believed := a.reservation.Weights(); r.WeightsVersion != 0 && r.WeightsVersion != believed {
 		c.log.Warn("answer from other weights than expected", "endpoint", e.ID(), "status", x.Status(), "weights", r.WeightsVersion, "expected", believed, "took", time.Since(sent))
 		a.reservation.RecordWeights(r.WeightsVersion)
@@ -235,7 +237,7 @@
 	var withheld *forward.WithheldError
 	if errors.As(err, &withheld) {
 		c.log.Info("request withheld from the endpoint", "endpoint", e.ID(), "weights", a.reservation.Weights(), "err", withheld.Cause)
-		return update{result: notRun, outcome: dispatch.OutcomeCancelled}
+		return update{result: notRun, outcome: dispatch.OutcomeCancelled, withheld: true}
 	}
 	crashed := !isUnsent && !a.answering() && ctx.Err() == nil && c.gateway.crashes.crashed(ctx, c.gateway.pool, c.log, a.reservation)
 	point := "answer"
@@ -264,7 +266,7 @@
 	if by := a.reservation.StartBy(); !by.IsZero() && !time.Now().Before(by) {
 		return &oldWeightsError{weights: a.reservation.Weights(), late: time.Since(by)}
 	}
-	return nil
+	return a.reservation.PermitSend()
 }
 
 // oldWeightsError reports that an endpoint's weights may not be used any longer.
@@ -301,6 +303,27 @@
 	a.call.gateway.pool.CloseIdle(e.Address())
 }
 
+// applyLimit records what the answer to the request says of the rate of requests that the
+// endpoint takes. A misdirected request may have been answered by another endpoint, which
+// doesn't know of the limit.
+func (a *attempt) applyLimit(status int, r fulmardeal.ResponseMetadata) {
+	c := a.call
+	id := a.reservation.Endpoint().ID()
+	if r.Limit.Kind == fulmardeal.LimitInvalid {
+		c.log.Warn("endpoint names a limit that can't be decoded", "endpoint", id)
+		c.gateway.stats.count("limits_invalid", c.service)
+	}
+	if r.Limit.Kind == fulmardeal.LimitNone && status == http.StatusMisdirectedRequest {
+		return
+	}
+	if a.reservation.RecordLimit(a.sent, r.Limit) {
+		c.gateway.log.Info(logLimit, "endpoint", id, "limited", r.Limit.Kind == fulmardeal.LimitNamed, "rate", r.Limit.Rate, "from", "")
+	}
+}
+
+// logLimit is the message of a line about the limit of an endpoint.
+const logLimit = "limit of an endpoint changed"
+
 // Limits on reading the body of an endpoint's refusal.
 const (
 	maxRefusalBytes    = 64 << 10              // maximum size of the body of a refusal
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -150,6 +150,9 @@
 	a.order, a.weights = c.progress.nextOrder(c.metadata.LastEventID), c.progress.weights
 	c.attempts = append(c.attempts, a)
 	c.sends++
+	if reservation.PassedOver() > 0 {
+		c.gateway.stats.count("passed_over", c.service)
+	}
 	c.silenceTimer.Reset(c.silenceTimeout())
 	c.weightsTimer.Reset(weightsCheckInterval)
 	go a.run(ctx, exchange)
@@ -234,7 +237,7 @@
 		return false
 	}
 	reason, ok := c.mayRetry(ctx)
-	if ok && !c.gateway.retryBudget(c.service).Withdraw() {
+	if ok && !u.withheld && !c.gateway.retryBudget(c.service).Withdraw() {
 		reason, ok = "repeats used up", false
 	}
 	if !ok {
@@ -275,7 +278,7 @@
 	c.progress.ended = true
 	c.gateway.stats.served(c.service, time.Since(c.received))
 	c.log.Info("served", "endpoint", reservation.Endpoint().ID(), "first", c.progress.firstEvent, "pause", c.progress.longestPause, "events", c.progress.events,
-		"expected", reservation.ExpectedFirstEvent(), "waited", c.queueTime, "prompt", c.metadata.PromptTokens, "sends", c.sends, "weights", u.weights, "left", u.attempt.startTimeLeft())
+		"expected", reservation.ExpectedFirstEvent(), "waited", c.queueTime, "prompt", c.metadata.PromptTokens, "sends", c.sends, "passed", reservation.PassedOver(), "weights", u.weights, "left", u.attempt.startTimeLeft())
 }
 
 func (c *call) dispatchRequest() *dispatch.Request {
--- a/internal/traffic/dispatch/endpoint.go
+++ b/internal/traffic/dispatch/endpoint.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"fulmardeal"
+	"fulmardeal/internal/traffic/ratelimit"
 )
 
 // Parameters of an entry's estimate of an endpoint's state.
@@ -91,6 +92,7 @@
 	// fullUntil is the time until which the endpoint gets no requests, because it
 	// refused one for lack of capacity.
 	fullUntil     time.Time
+	limitKey      ratelimit.Key
 	notice        *notice     // what it has said about itself; nil if nothing
 	mismatchUntil time.Time   // until this time the endpoint gets no requests, because of an OutcomeMismatch
 	coldUntil     time.Time   // until this time requests are limited by the service's cold rate
@@ -130,6 +132,7 @@
 		e.mismatchUntil = time.Time{}
 	}
 	e.registration, e.service = r, s
+	e.limitKey = limitKey(&r)
 	if r.ColdLeft > 0 {
 		e.coldUntil = now.Add(r.ColdLeft)
 	}
@@ -198,10 +201,17 @@
 // isSuspect reports whether the endpoint is suspect.
 func (e *Endpoint) isSuspect(now time.Time) bool { return now.Before(e.suspectEnd()) }
 
+// sharesColdRate reports whether the endpoint is cold and takes less than one request per
+// second from each entry. The entries then need grants.
+func (e *Endpoint) sharesColdRate(now time.Time, entries int) bool {
+	return now.Before(e.coldUntil) && e.service.ColdRate > 0 && e.service.ColdRate < float64(entries)
+}
+
 // coldRateAllows reports whether this entry may send a cold endpoint another
-// request now. The endpoint's cold rate is divided evenly among the entries.
+// request now. The endpoint's cold rate is divided evenly among the entries, unless they
+// need grants.
 func (e *Endpoint) coldRateAllows(now time.Time, entries int) bool {
-	if e.service.ColdRate <= 0 || !now.Before(e.coldUntil) {
+	if e.service.ColdRate <= 0 || !now.Before(e.coldUntil) || e.sharesColdRate(now, entries) {
 		return true
 	}
 	n := 0
@@ -210,7 +220,7 @@
 			n++
 		}
 	}
-	return float64(n+1) <= max(1, e.service.ColdRate/float64(entries))
+	return float64(n+1) <= e.service.ColdRate/float64(entries)
 }
 
 // mayTakeSlot reports whether this entry may take one of the free slots while
--- a/internal/traffic/dispatch/queue.go
+++ b/internal/traffic/dispatch/queue.go
@@ -17,7 +17,7 @@
 	firstSent   time.Time          // when its caller first sent it, before any retries
 	latestStart time.Time          // latest time at which an endpoint can start it and still respond on time
 	waitUntil   time.Time          // when it leaves the queue and is refused
-	assigned    chan *Endpoint     // receives the endpoint that got the request
+	assigned    chan assignment    // receives the slot that the request got
 	refused     chan RefusalReason // receives the reason if the request is refused before waitUntil
 }
 
@@ -40,7 +40,7 @@
 	}
 	return &waiter{
 		request: req, firstSent: firstSent, latestStart: latestStart, waitUntil: minTime(waitUntil, req.Deadline),
-		assigned: make(chan *Endpoint, 1), refused: make(chan RefusalReason, 1),
+		assigned: make(chan assignment, 1), refused: make(chan RefusalReason, 1),
 	}
 }
 
--- a/internal/traffic/dispatch/refusal.go
+++ b/internal/traffic/dispatch/refusal.go
@@ -7,10 +7,11 @@
 
 // Reasons for refusals.
 const (
-	RefusedNoEndpoint RefusalReason = "none"   // no endpoint is eligible
-	RefusedFull       RefusalReason = "full"   // no slot became free in time
-	RefusedLate       RefusalReason = "late"   // the deadline is too close
-	RefusedPaused     RefusalReason = "paused" // all eligible endpoints have asked for a pause that lasts too long
+	RefusedNoEndpoint RefusalReason = "none"    // no endpoint is eligible
+	RefusedFull       RefusalReason = "full"    // no slot became free in time
+	RefusedLate       RefusalReason = "late"    // the deadline is too close
+	RefusedPaused     RefusalReason = "paused"  // all eligible endpoints have asked for a pause that lasts too long
+	RefusedLimited    RefusalReason = "limited" // all eligible endpoints are at the limits of the rates that they take
 )
 
 // minTimeLeft is the time that must be left until a request's deadline. With less
--- a/internal/traffic/dispatch/reservation.go
+++ b/internal/traffic/dispatch/reservation.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"fulmardeal/internal/traffic/ratelimit"
 )
 
 // Reservation is a slot at an endpoint that is reserved for a request. The
@@ -18,6 +20,11 @@
 	started      bool          // the first event has arrived, or the request has ended
 	silent       bool          // a silence has been recorded, and no event has arrived since
 	released     bool
+
+	limitKey   ratelimit.Key
+	permit     ratelimit.Permit
+	sent       bool // the request has been sent, as far as is known
+	passedOver int  // endpoints that were not selected because of their limits
 }
 
 // Endpoint returns the endpoint on which the slot is reserved.
@@ -156,6 +163,9 @@
 	if outcome == OutcomeServed {
 		r.endSilence()
 	}
+	if !r.sent {
+		t.limits.PutBack(now, r.limitKey, r.permit)
+	}
 	r.endpoint.inProgress--
 	r.endpoint.released = append(r.endpoint.released, now)
 	r.endpoint.recordOutcome(now, outcome)
--- a/internal/traffic/dispatch/retry.go
+++ b/internal/traffic/dispatch/retry.go
@@ -41,6 +41,19 @@
 	return max(minRetryAfter, time.Duration(float64(pause)*(1+pauseSpread*rng.Float64())))
 }
 
+// reserveReturn returns the delay after which a caller should retry when all endpoints that
+// may serve it are at their limits. Designed for a service whose endpoints are all in need:
+// callers return one after the other, at the rate that the endpoints take. A caller whose
+// time doesn't allow it to wait as long takes no turn.
+func (g *group) reserveReturn(now time.Time, f *limitForecast, timeLeft time.Duration) time.Duration {
+	turn := maxTime(g.nextReturn, f.next)
+	after := max(minRetryAfter, turn.Sub(now))
+	if after <= time.Duration(acceptedShare*float64(timeLeft)) {
+		g.nextReturn = turn.Add(f.interval())
+	}
+	return after
+}
+
 // pauseSpread is how far the returns after a pause are spread, as a share of the
 // pause.
 const pauseSpread = 0.25
--- a/internal/traffic/dispatch/selection.go
+++ b/internal/traffic/dispatch/selection.go
@@ -86,6 +86,11 @@
 	// before it learns of the others' sends.
 	contenders       int
 	remoteContenders int
+
+	// limitAllows reports whether an endpoint's limit allows another request now; nil if no
+	// endpoint has one. passedOver counts the endpoints with a free slot for which it doesn't.
+	limitAllows func(e *Endpoint) bool
+	passedOver  int
 }
 
 // contendersFor returns how many entries share the free slots of an endpoint. Entries
@@ -137,8 +142,21 @@
 	return f.weightsUsable(e.weights)
 }
 
-// hasCapacity reports whether an endpoint can start the request at once.
+// hasCapacity reports whether an endpoint can start the request at once, and may be sent
+// another one.
 func hasCapacity(f *fleetState, e *Endpoint, req *Request, rng *rand.Rand) bool {
+	if !hasFreeSlot(f, e, req, rng) {
+		return false
+	}
+	if f.limitAllows != nil && !f.limitAllows(e) {
+		f.passedOver++
+		return false
+	}
+	return true
+}
+
+// hasFreeSlot reports whether an endpoint can start the request at once.
+func hasFreeSlot(f *fleetState, e *Endpoint, req *Request, rng *rand.Rand) bool {
 	now := f.now
 	if e.isPaused(now) || now.Before(e.fullUntil) || now.Before(e.mismatchUntil) || now.Before(e.loadingUntil) {
 		return false
--- a/internal/traffic/dispatch/table.go
+++ b/internal/traffic/dispatch/table.go
@@ -11,6 +11,7 @@
 
 	"fulmardeal"
 	"fulmardeal/internal/fleet/catalogue"
+	"fulmardeal/internal/traffic/ratelimit"
 )
 
 // Network delays added to the predicted time to the first event, for endpoints
@@ -51,6 +52,9 @@
 
 	refusals  refusalHistory
 	intervals ReportIntervals
+
+	limits    ratelimit.Table
+	limitsDue chan struct{}
 }
 
 // group holds the endpoints of one service and the queue for them.
@@ -61,6 +65,8 @@
 	released    int // slots released in the current window
 	windowStart time.Time
 	releaseRate float64 // slots released per second
+	demand      demand
+	nextReturn  time.Time // when the next caller that was refused because of limits may return
 }
 
 // New returns an empty table.
@@ -74,6 +80,7 @@
 		peers:     make(map[string]*peer),
 		notices:   make(map[string]*notice),
 		peerLoads: make(map[uint64]peerLoad),
+		limitsDue: make(chan struct{}, 1),
 	}
 }
 
@@ -123,6 +130,7 @@
 		}
 	}
 	t.services = next
+	t.retainLimits(now)
 }
 
 // inUse reports whether requests are in progress at endpoints of the group, or wait for
@@ -206,6 +214,7 @@
 		weightsUsable: func(int64) bool { return true },
 		peerLoads:     t.peerLoads,
 	}
+	f.limitAllows = func(e *Endpoint) bool { return t.limitAllows(now, g, e) }
 	if len(g.endpoints) == 0 || g.endpoints[0].engine() == nil || len(g.endpoints[0].engine().Models) == 0 {
 		return f
 	}
@@ -252,8 +261,8 @@
 	defer timer.Stop()
 	reason = RefusedFull
 	select {
-	case e := <-w.assigned:
-		return t.queuedReservation(w, e), nil
+	case a := <-w.assigned:
+		return t.queuedReservation(w, a), nil
 	case reason = <-w.refused:
 	case <-timer.C:
 	case <-ctx.Done():
@@ -263,8 +272,8 @@
 	t.mu.Unlock()
 	if !queued {
 		select {
-		case e := <-w.assigned: // a slot was assigned after the wait ended, before the lock was taken
-			return t.queuedReservation(w, e), nil
+		case a := <-w.assigned: // a slot was assigned after the wait ended, before the lock was taken
+			return t.queuedReservation(w, a), nil
 		default:
 		}
 	}
@@ -289,6 +298,7 @@
 	if w != nil {
 		g := t.services[req.Service]
 		g.queue.waiters = append(g.queue.waiters, w)
+		t.awaitGrants(now, t.fleetState(now, g), w)
 		t.refuseExcess(now, g)
 	}
 	return r, w, reason
@@ -304,6 +314,7 @@
 	if tooLate(now, req) {
 		return nil, nil, RefusedLate
 	}
+	g.demand.add(now)
 	firstSent := t.refusals.firstSentAt(req.Sent, req.Fingerprint)
 	f := t.fleetState(now, g)
 	w := newWaiter(now, req, firstSent, firstSent.Add(req.Objective-firstEventWithoutBacklog(g, req)))
@@ -316,8 +327,8 @@
 	e, found := selectEndpoint(f, g.endpoints, req, t.rng)
 	if e != nil {
 		expected := predict(f, e, req) - e.currentLag(now)
-		t.assign(now, e, req)
-		return &Reservation{table: t, group: g, endpoint: e, promptTokens: req.PromptTokens, weights: e.weights, sentAt: now, expected: expected}, nil, ""
+		a := t.assign(now, f, e, req)
+		return t.newReservation(now, g, a, req, expected), nil, ""
 	}
 	if !found {
 		return nil, nil, RefusedNoEndpoint
@@ -325,6 +336,9 @@
 	if resume, paused := earliestResume(f, g.endpoints, req); paused && resume.After(w.waitUntil) {
 		return nil, nil, RefusedPaused
 	}
+	if t.exceedsLimits(f, w, len(g.queue.waiters)) {
+		return nil, nil, RefusedLimited
+	}
 	return nil, w, ""
 }
 
@@ -347,21 +361,41 @@
 	return predictFirstEvent(s, s.Slots, 0, req.PromptTokens)
 }
 
+// assignment is a slot at an endpoint that has been assigned to a request.
+type assignment struct {
+	endpoint   *Endpoint
+	permit     ratelimit.Permit
+	passedOver int // endpoints that were not selected because of their limits
+}
+
 // assign accounts for a request that is about to be sent to an endpoint.
-func (t *Table) assign(now time.Time, e *Endpoint, req *Request) {
+func (t *Table) assign(now time.Time, f *fleetState, e *Endpoint, req *Request) assignment {
 	e.inProgress++
 	e.pendingTokens += req.PromptTokens
 	e.takeSlot(now)
+	// If there is no grant, the request is withheld when it is to be sent.
+	permit, _ := t.limits.Take(now, e.limitKey)
+	if permit.Limited() {
+		t.wakeLimits()
+	}
+	return assignment{endpoint: e, permit: permit, passedOver: f.passedOver}
+}
+
+func (t *Table) newReservation(now time.Time, g *group, a assignment, req *Request, expected time.Duration) *Reservation {
+	return &Reservation{
+		table: t, group: g, endpoint: a.endpoint, promptTokens: req.PromptTokens, weights: a.endpoint.weights, sentAt: now, expected: expected,
+		limitKey: a.endpoint.limitKey, permit: a.permit, passedOver: a.passedOver,
+	}
 }
 
 // queuedReservation returns the reservation for an endpoint assigned to a
 // queued request.
-func (t *Table) queuedReservation(w *waiter, e *Endpoint) *Reservation {
+func (t *Table) queuedReservation(w *waiter, a assignment) *Reservation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	expected := predict(t.fleetState(now, w.group), e, w.request) - e.currentLag(now)
-	return &Reservation{table: t, group: w.group, endpoint: e, promptTokens: w.request.PromptTokens, weights: e.weights, sentAt: now, expected: expected}
+	expected := predict(t.fleetState(now, w.group), a.endpoint, w.request) - a.endpoint.currentLag(now)
+	return t.newReservation(now, w.group, a, w.request, expected)
 }
 
 // refusal records a refusal and returns its error.
@@ -378,6 +412,11 @@
 			refused.RetryAfter = retryAfterPause(resume.Sub(now), t.rng)
 			return refused
 		}
+		if forecast, limited := t.forecastLimits(t.fleetState(now, g), g.endpoints, req); limited {
+			refused.Reason = RefusedLimited
+			refused.RetryAfter = g.reserveReturn(now, &forecast, req.Deadline.Sub(now))
+			return refused
+		}
 	}
 	refused.RetryAfter = retryAfter(reason, onTime, req.Deadline.Sub(now), t.rng)
 	return refused
@@ -401,13 +440,14 @@
 		if yieldsToOnTime(w.late(now), onTime) {
 			break // the queue is sorted: all further requests are late too
 		}
+		f.passedOver = 0
 		e, _ := selectEndpoint(f, g.endpoints, w.request, t.rng)
 		if e == nil {
 			continue
 		}
-		t.assign(now, e, w.request)
+		a := t.assign(now, f, e, w.request)
 		g.queue.remove(w)
-		w.assigned <- e
+		w.assigned <- a
 	}
 }
 
@@ -432,6 +472,8 @@
 	Weights     int64   `json:"weights"`
 	FailureRate float64 `json:"failing"`
 	Suspect     bool    `json:"suspect"`
+
+	Limit *ratelimit.State `json:"limit,omitempty"` // nil if the endpoint has no limit on the rate of requests
 }
 
 // EndpointStates returns the state of all endpoints for a state dump.
@@ -445,6 +487,7 @@
 			out = append(out, EndpointState{
 				ID: e.ID(), Service: name, Address: e.Address(), Running: e.inProgress, PeerRunning: f.peerLoads[e.hash].inProgress,
 				Weights: e.weights, FailureRate: e.failureRate, Suspect: e.isSuspect(now),
+				Limit: t.limits.State(now, e.limitKey),
 			})
 		}
 	}
--- a/internal/traffic/sharing/mesh.go
+++ b/internal/traffic/sharing/mesh.go
@@ -122,6 +122,7 @@
 	mu             sync.Mutex
 	peers          map[string]*peerEntry  // by UDP address of the entry
 	partialReports map[string]*reportPart // reports received in part, by name of the sending entry
+	heard          map[string]heardEntry  // by UDP address of the entry: when its last report arrived
 	listed         chan struct{}          // closed once the list of entries has been read
 }
 
@@ -142,7 +143,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	m := &Mesh{options: o, conn: c, peers: make(map[string]*peerEntry), partialReports: make(map[string]*reportPart), listed: make(chan struct{})}
+	m := &Mesh{options: o, conn: c, peers: make(map[string]*peerEntry), partialReports: make(map[string]*reportPart), heard: make(map[string]heardEntry), listed: make(chan struct{})}
 	return m, func() { c.Close() }, nil
 }
 
@@ -152,6 +153,7 @@
 	go m.receive()
 	go m.maintainList(ctx)
 	go m.updateAgentsPeriodically(ctx)
+	go m.exchangeLimits(ctx)
 	t := time.NewTimer(reportInterval)
 	defer t.Stop()
 	var nextCrossRegion time.Time // when the next report to other regions is due
@@ -295,10 +297,13 @@
 			return err
 		}
 		m.recordPeer(now, from, part.dataCentre)
+		m.recordHeard(now, from.String(), part.dataCentre)
 		if report, complete := m.assemble(part); complete {
 			m.options.Table.ApplyReport(now, part.entry, m.options.Regions[part.dataCentre], report)
 		}
 		return nil
+	case kindLimitNotices, kindLimitRequest, kindGrant:
+		return m.handleLimit(now, from, data)
 	}
 	if data[0] == kindQuarantine && m.options.Quarantine != nil {
 		report, err := decodeQuarantineReport(data[1:])
--- a/internal/traffic/sharing/message.go
+++ b/internal/traffic/sharing/message.go
@@ -21,6 +21,9 @@
 	kindEngineStatus = 'N'
 	kindAgentUpdate  = 'B'
 	kindQuarantine   = 'Q'
+	kindLimitNotices = 'M'
+	kindLimitRequest = 'R'
+	kindGrant        = 'G'
 )
 
 // maxDatagram is the payload that fits into one packet on a link with an MTU of
--- a/pool.go
+++ b/pool.go
@@ -320,6 +320,22 @@
 	LastEventID    string
 }
 
+// LimitKind tells what a response says of the rate of requests that its endpoint takes.
+type LimitKind int
+
+// Kinds of limits in responses.
+const (
+	LimitNone    LimitKind = iota // the endpoint has no limit
+	LimitNamed                    // the endpoint names a limit
+	LimitInvalid                  // the limit can't be decoded; nothing is known
+)
+
+// RateLimit is the rate of requests that an endpoint takes from all entries together.
+type RateLimit struct {
+	Kind LimitKind
+	Rate float64 // requests per second, if Kind is LimitNamed
+}
+
 // ResponseMetadata is the metadata in the header of an endpoint's response.
 type ResponseMetadata struct {
 	AttemptID      string
@@ -333,6 +349,7 @@
 	ColdLeft       time.Duration // remaining time of the endpoint's cold phase
 	Leaving        bool          // the endpoint is about to stop and must get no new requests
 	Pause          time.Duration // how long the endpoint asks the entry to send it nothing; 0 if it doesn't ask
+	Limit          RateLimit     // the rate of requests that the endpoint takes
 	IdleTimeout    time.Duration // how long the connection to the endpoint may stay idle; 0 if not given
 }
 
