process/gateway: an order that may outlast the grace period is refused, not cut off

What callers saw, by a report of other operators: late in the grace period of a planned stop requests were taken, passed on and cut off at its end, orders among them.

Here: an entry takes requests for 2.6 s after SIGTERM. TestLateRequestIsPassedOnAndCutOff (28 requests on kept, new and half-sent connections, grace of 5 s): 5 orders with a deadline after the grace period were passed on, and answered 504 at its end while the endpoint was at work. Nothing that comes after the 2.6 s is taken: the connection is closed unread. At a grace period of less than 2.6 s the entry still took requests when it was killed.

Change: a leaving entry refuses a request that may run once only and whose deadline is after the end of the grace period, before it is sent, also when it has waited for a slot. Its caller comes back at another entry. Requests that may run again are taken as before: their callers can resume or repeat them. Requests are taken for half of the grace period at most.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -156,6 +156,7 @@
 	callerConns       callerConns
 	readinessListener net.Listener
 	leaving           atomic.Bool
+	requestsEnd       atomic.Pointer[time.Time] // when requests in progress are ended; nil unless leaving
 	configured        atomic.Pointer[time.Time] // when operators' changes last took effect; nil if never
 
 	crashes    crashChecks
--- a/internal/process/gateway/grace.go
+++ b/internal/process/gateway/grace.go
@@ -11,7 +11,7 @@
 const (
 	// shutdownDelay is how long an entry that shuts down still accepts
 	// requests. The load balancer polls the readiness once a second and
-	// acts on the second negative response.
+	// acts on the second negative response. It is at most half of the grace period.
 	shutdownDelay = 2600 * time.Millisecond
 
 	// shutdownMargin is the margin between the end of the requests in progress
@@ -22,6 +22,10 @@
 
 	// lastAnswersTimeout is how long the answers to these requests may take.
 	lastAnswersTimeout = 300 * time.Millisecond
+
+	// retryAfterLeaving is the Retry-After of a request that may last longer than the rest of
+	// the grace period. Callers return to another entry.
+	retryAfterLeaving = 50 * time.Millisecond
 )
 
 // errGraceOver is the cause of the end of a request's context at the end of the
@@ -47,8 +51,10 @@
 	grace := g.settings.Bounds.Grace
 	g.log.Info("leaving", "grace", grace)
 	start := time.Now()
-	time.Sleep(shutdownDelay)
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-min(shutdownMargin, grace/8)))
+	end := start.Add(grace - min(shutdownMargin, grace/8))
+	g.requestsEnd.Store(&end)
+	time.Sleep(min(shutdownDelay, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := s.Shutdown(ctx)
 	if err == nil {
@@ -62,3 +68,16 @@
 		g.log.Warn("connections closed with requests in progress", "err", err)
 	}
 }
+
+// refuseOutlasting refuses the request, and reports so, if it may run once only, has not run,
+// and may last longer than the rest of the grace period. Its caller would not learn whether it
+// has run.
+func (c *call) refuseOutlasting() bool {
+	end := c.gateway.requestsEnd.Load()
+	if end == nil || c.route.Repeatable() || c.runs > 0 || c.progress.started || !c.deadline.After(*end) {
+		return false
+	}
+	c.log.Info("refused", "reason", "leaving", "service", c.service, "after", retryAfterLeaving, "left", time.Until(*end), "deadline", time.Until(c.deadline), "version", c.version)
+	c.refuse(http.StatusServiceUnavailable, "leaving", retryAfterLeaving)
+	return true
+}
--- a/internal/process/gateway/grace_test.go
+++ b/internal/process/gateway/grace_test.go
@@ -79,3 +79,18 @@
 		t.Errorf("stopped after %v: %v", time.Since(start), err)
 	}
 }
+
+// An entry with a short grace period stops before its end.
+func TestShortGracePeriodIsKept(t *testing.T) {
+	t.Parallel()
+	const grace = 2 * time.Second
+	w := startGateway(t, func(w *testGateway) {
+		w.bounds.Grace = grace
+		w.endpoint("i-1", "shop", "a", func(rw http.ResponseWriter, _ *http.Request) { fmt.Fprint(rw, "ok") })
+	})
+	start := time.Now()
+	w.stop()
+	if err := <-w.done; err != nil || time.Since(start) > grace {
+		t.Errorf("stopped after %v: %v", time.Since(start), err)
+	}
+}
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -62,7 +62,15 @@
 func (c *call) startNext(ctx context.Context) bool {
 	start := time.Now()
 	for {
+		if c.refuseOutlasting() {
+			return false
+		}
 		reservation, permit, err := c.reserve(ctx)
+		if err == nil && c.refuseOutlasting() {
+			permit.Done(time.Now())
+			reservation.Release(dispatch.OutcomeCancelled)
+			return false
+		}
 		if err == nil {
 			c.queueTime += time.Since(start)
 			c.start(ctx, reservation, permit)
