platform/adapter: a whole response without content is not taken for a truncated one

Found by the test of responses that stop within their head or framing, which other operators had reported from systems like ours: TestResponseThatStopsLooksWhole cuts nine forms of responses of an endpoint of our own interface at each byte, closed and reset, on new and kept connections. None of those that stop is taken for whole. But a whole 204 was taken for one that stops: without a length it counted as delimited by the close of its connection, though it has no body.

Failed before for the form no-content, on new and kept connections; passes now.

--- a/internal/platform/adapter/endpoint.go
+++ b/internal/platform/adapter/endpoint.go
@@ -109,7 +109,8 @@
 // the connection, so that its end can't be told from a broken connection.
 func isCloseDelimited(resp *fasthttp.Response) bool {
 	const identity = -2 // ContentLength of a response with neither a length nor chunked encoding
-	return resp.Header.ContentLength() == identity
+	hasBody := resp.StatusCode() != fasthttp.StatusNoContent && resp.StatusCode() != fasthttp.StatusNotModified
+	return hasBody && resp.Header.ContentLength() == identity
 }
 
 func isHopByHop(name string) bool {
