traffic/ratelimit: an entry that begins to issue grants has one

Callers of an idle service whose only endpoint names a limit were refused now and then although the endpoint took twice as many (1 of 10 in TestRareCallersAtLimitAreRefused, before): an entry that began to issue the grants of an endpoint had none yet, and the next came after 0.5 s. It has one now.

--- a/internal/process/gateway/limit_test.go
+++ b/internal/process/gateway/limit_test.go
@@ -1,16 +1,18 @@
 package gateway_test
 
 import (
-	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/proof/script"
 )
 
 // Bounds on the requests that an endpoint with a limit may get.
@@ -31,31 +33,21 @@
 }
 
 // readLimitLoads reads a table of loads.
-func readLimitLoads(t *testing.T, name string) []limitLoad {
+func readLimitLoads(t *testing.T, path string) []limitLoad {
 	t.Helper()
-	f, err := os.Open(name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
 	var loads []limitLoad
-	for scanner := bufio.NewScanner(f); scanner.Scan(); {
-		columns := strings.Fields(scanner.Text())
-		if len(columns) == 0 || strings.HasPrefix(columns[0], "#") {
-			continue
+	script.Run(t, path, func(f []string) error {
+		if len(f) != 5 {
+			return fmt.Errorf("%d fields, want 5", len(f))
 		}
-		l := limitLoad{name: columns[0], uneven: columns[4] == "uneven"}
+		l := limitLoad{name: f[0], uneven: f[4] == "uneven"}
 		var errs [3]error
-		l.entries, errs[0] = strconv.Atoi(columns[1])
-		l.limited, errs[1] = strconv.Atoi(columns[2])
-		l.limit, errs[2] = strconv.ParseFloat(columns[3], 64)
-		for _, err := range errs {
-			if err != nil {
-				t.Fatalf("%s: %s: %v", name, columns[0], err)
-			}
-		}
+		l.entries, errs[0] = strconv.Atoi(f[1])
+		l.limited, errs[1] = strconv.Atoi(f[2])
+		l.limit, errs[2] = strconv.ParseFloat(f[3], 64)
 		loads = append(loads, l)
-	}
+		return errors.Join(errs[:]...)
+	})
 	return loads
 }
 
@@ -156,8 +148,13 @@
 
 	mu       sync.Mutex
 	statuses map[int]int // of the answers
-	slowest  time.Duration
-	unhinted int // refusals without a Retry-After
+	refusals []refusalTime
+}
+
+// refusalTime is how long a caller waited for its refusal, and for how long it was told to wait.
+type refusalTime struct {
+	waited     time.Duration
+	retryAfter string
 }
 
 func startLimitSite(t *testing.T, entries int) *limitSite {
@@ -187,22 +184,25 @@
 // call sends a request to an entry and records the answer.
 func (s *limitSite) call(entry, n int) {
 	start := time.Now()
-	a := s.entries[entry].call("POST", callersPaths[n%len(callersPaths)], nil)
+	s.mu.Lock()
+	w := s.entries[entry]
+	s.mu.Unlock()
+	a := w.call("POST", callersPaths[n%len(callersPaths)], nil)
 	took := time.Since(start)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.statuses[a.status]++
 	if a.status == http.StatusServiceUnavailable {
-		s.slowest = max(s.slowest, took)
-		if a.header.Get("Retry-After") == "" {
-			s.unhinted++
-		}
+		s.refusals = append(s.refusals, refusalTime{waited: took, retryAfter: a.header.Get("Retry-After")})
 	}
 }
 
+// awaitEndpoints waits until all entries know the endpoints.
+func (s *limitSite) awaitEndpoints() { time.Sleep(500 * time.Millisecond) }
+
 // load sends requests for a time. If it is uneven, nine of ten go to the first entry.
 func (s *limitSite) load(rate float64, d time.Duration, uneven bool) {
-	time.Sleep(500 * time.Millisecond) // until all entries know the endpoints
+	s.awaitEndpoints()
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
 	defer ticker.Stop()
 	end := time.Now().Add(d)
@@ -255,3 +255,131 @@
 		})
 	}
 }
+
+// When the only endpoint of a service is at its limit, callers are refused at once, and told
+// to come back no faster than it takes them.
+func TestOnlyEndpointAtItsLimitKeepsCallersWaiting(t *testing.T) {
+	t.Parallel()
+	const limit, rate = 2.0, 40.0
+	s := startLimitSite(t, 3)
+	e := s.endpoint("i-limited")
+	e.name("2")
+	s.load(rate, limitContact+limitWindow+2*time.Second, false)
+	e.check(t, "i-limited", limit)
+	slow, unhinted := 0, 0
+	for _, r := range s.refusals {
+		if r.waited > 150*time.Millisecond {
+			slow++
+		}
+		if r.retryAfter == "" {
+			unhinted++
+		}
+	}
+	if slow*20 > len(s.refusals) || unhinted > 0 || len(s.refusals) == 0 {
+		t.Errorf("of %d refusals %d took longer than 150 ms, and %d have no Retry-After", len(s.refusals), slow, unhinted)
+	}
+	for status := range s.statuses {
+		if status != http.StatusOK && status != http.StatusServiceUnavailable {
+			t.Errorf("statuses of answers: %v", s.statuses)
+		}
+	}
+}
+
+// A caller of an idle service whose only endpoint has a limit is served, not refused for want
+// of a grant.
+func TestRareCallersAtLimitAreRefused(t *testing.T) {
+	t.Parallel()
+	s := startLimitSite(t, 4)
+	e := s.endpoint("i-limited")
+	e.name("2")
+	s.load(1, 10*time.Second, false)
+	if n := s.refused(); n > 0 {
+		t.Errorf("%d of %d callers refused at half the rate that the endpoint takes: %v", n, len(e.arrivals), s.statuses)
+	}
+}
+
+// A limit holds until the endpoint names another one or none, and for one incarnation of it.
+func TestLimitChanges(t *testing.T) {
+	t.Parallel()
+	s := startLimitSite(t, 4)
+	e := s.endpoint("i-limited")
+	s.endpoint("i-free")
+	var calls sync.WaitGroup
+	calls.Go(func() { s.load(80, 18500*time.Millisecond, false) })
+	time.Sleep(time.Second)
+	e.name("8")
+	time.Sleep(limitContact)
+	before := time.Now()
+	time.Sleep(2 * time.Second)
+	e.name("1.5")
+	time.Sleep(limitContact)
+	if n := e.received(before); n < 10 {
+		t.Errorf("%d requests in 5 s at a limit of 8 a second, then 1.5", n)
+	}
+	lower := time.Now()
+	time.Sleep(limitWindow)
+	if n := e.received(lower); n > 14 || n < 4 {
+		t.Errorf("%d requests in %v after the limit fell to 1.5 a second", n, limitWindow)
+	}
+	e.name("") // it doesn't name one any longer
+	time.Sleep(time.Second)
+	ended := time.Now()
+	time.Sleep(time.Second)
+	if n := e.received(ended); n < 20 {
+		t.Errorf("%d requests in 1 s after the limit had ended, of 80", n)
+	}
+	e.name("0")
+	time.Sleep(time.Second)
+	e.name("")
+	address := s.entries[0].endpoint("i-other", "shop", "a", e.serve) // the same endpoint at another address
+	s.entries[0].register(fulmardeal.Registration{ID: "i-other", Service: "shop", Address: address, DataCentre: "a", Slots: 4, Born: time.Now()})
+	time.Sleep(time.Second)
+	restarted := time.Now()
+	time.Sleep(time.Second)
+	if n := e.received(restarted); n < 20 {
+		t.Errorf("%d requests in 1 s after the endpoint had restarted, of 80", n)
+	}
+	calls.Wait()
+	if n := s.refused(); n > 0 {
+		t.Errorf("%d callers got no success beside a free endpoint: %v", n, s.statuses)
+	}
+}
+
+// Entries that come and go don't add up to more than an endpoint takes.
+func TestRestartsOfEntriesExceedLimit(t *testing.T) {
+	t.Parallel()
+	const limit = 3.0
+	s := startLimitSite(t, 5)
+	e := s.endpoint("i-limited")
+	e.name("3")
+	s.endpoint("i-free")
+	var calls sync.WaitGroup
+	stop := make(chan struct{})
+	calls.Go(func() {
+		for i := 0; ; i = (i + 1) % 4 {
+			select {
+			case <-stop:
+				return
+			case <-time.After(1500 * time.Millisecond):
+			}
+			s.mu.Lock()
+			old := s.entries[1+i]
+			s.mu.Unlock()
+			old.kill()
+			fresh := launchGateway(t, fmt.Sprintf("front-again-%d", i), s.store, func(*testGateway) {})
+			s.mu.Lock()
+			s.entries[1+i] = fresh
+			s.mu.Unlock()
+		}
+	})
+	s.load(80, 15*time.Second, false)
+	close(stop)
+	calls.Wait()
+	from := e.named.Add(limitContact)
+	if n, allowed := e.most(from, limitWindow), limitFactor*limit*limitWindow.Seconds()+limitSlack; float64(n) > allowed {
+		t.Errorf("%d requests in %v, allowed %g", n, limitWindow, allowed)
+	}
+	if n, least := e.received(from), 0.4*limit*12; float64(n) < least {
+		t.Errorf("%d requests in 12 s, it takes %g", n, 12*limit)
+	}
+}
--- a/internal/traffic/ratelimit/issuer.go
+++ b/internal/traffic/ratelimit/issuer.go
@@ -51,7 +51,7 @@
 	}
 	b := t.buckets[r.Key]
 	if b == nil {
-		b = &bucket{filledAt: now, requests: make(map[string]*pending)}
+		b = &bucket{tokens: 1, filledAt: now, requests: make(map[string]*pending)}
 		t.buckets[r.Key] = b
 	}
 	b.lastUsed = now
