--- a/internal/traffic/sharing/sharing_test.go
+++ b/internal/traffic/sharing/sharing_test.go
@@ -23,6 +23,7 @@
 	"fulmardeal/internal/fleet/catalogue"
 	"fulmardeal/internal/traffic/dispatch"
 	"fulmardeal/internal/traffic/quarantine"
+	"fulmardeal/internal/traffic/ratelimit"
 )
 
 func testReport(loads, refused int) dispatch.LoadReport {
@@ -257,6 +258,9 @@
 		"report":        {encodeReport("e", "a", 1, testReport(3, 2))[0], func(b []byte) error { _, err := decodeReport(b); return err }},
 		"agent update":  {encodeAgentUpdate(now, testAgentUpdate()), func(b []byte) error { _, err := decodeAgentUpdate(now, b); return err }},
 		"engine status": {encodeEngineStatus(EngineStatus{Address: "a:1", Weights: 1}), func(b []byte) error { _, err := decodeEngineStatus(b); return err }},
+		"limit notices": {encodeLimitNotices(now, []ratelimit.Notice{testLimitNotice(now), testLimitNotice(now)})[0], func(b []byte) error { _, err := decodeLimitNotices(now, b); return err }},
+		"limit request": {encodeLimitRequest(now, testLimitRequest(now)), func(b []byte) error { _, err := decodeLimitRequest(now, b); return err }},
+		"grant":         {encodeGrant(now, testGrant(now)), func(b []byte) error { _, err := decodeGrant(now, b); return err }},
 	} {
 		for n := 1; n < len(c.data); n++ {
 			if c.decode(c.data[1:n]) == nil {
@@ -274,6 +278,9 @@
 	f.Add(encodeAgentUpdate(now, testAgentUpdate()))
 	f.Add(encodeEngineStatus(EngineStatus{Address: "a:1", Weights: 1}))
 	f.Add(encodeQuarantineReport(testQuarantineReport(2))[0])
+	f.Add(encodeLimitNotices(now, []ratelimit.Notice{testLimitNotice(now)})[0])
+	f.Add(encodeLimitRequest(now, testLimitRequest(now)))
+	f.Add(encodeGrant(now, testGrant(now)))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if len(data) == 0 {
 			return
@@ -293,6 +300,23 @@
 			}
 		}
 		_, _ = decodeEngineStatus(data[1:]) // must not panic
+		if q, err := decodeLimitRequest(now, data[1:]); err == nil {
+			checkLimitNotice(t, now, q.Notice)
+			if q.Want < 0 || q.Returned < 0 || !(q.Demand >= 0 && q.Demand <= ratelimit.MaxRate) || !(q.Cold >= 0 && q.Cold <= ratelimit.MaxRate) {
+				t.Errorf("invalid request for grants accepted: %+v", q)
+			}
+		}
+		if g, err := decodeGrant(now, data[1:]); err == nil {
+			checkLimitNotice(t, now, g.Notice)
+			if g.Count < 0 || g.Wait < 0 || g.Requesters < 0 {
+				t.Errorf("invalid grant accepted: %+v", g)
+			}
+		}
+		if notices, err := decodeLimitNotices(now, data[1:]); err == nil {
+			for _, n := range notices {
+				checkLimitNotice(t, now, n)
+			}
+		}
 		if r, err := decodeQuarantineReport(data[1:]); err == nil {
 			for _, x := range r.Crashes {
 				if x.Age < 0 || x.SentAge < 0 || x.Weights < 0 {
