traffic/dispatch: an endpoint that refuses each request is asked less and less often

What callers saw: beside a free endpoint, one that answers each request with a true refusal (503, not run, no Retry-After) got a quarter of all requests, and callers were refused. Reproduced with four entries at 83 requests a second: 123 of 830 callers got 503 (TestEndpointThatRefusesAllUsesUpRetries).

Cause: an endpoint that refuses is left alone for 60 ms, however often it has refused, and each refusal takes a retry from the budget. When that is used up, the next refusal is the caller's.

Ruled out: the budget itself; it has to hold over all entries. Change: the time doubles with each further refusal, up to 1 s, until the endpoint answers a request or starts anew.

--- a/internal/process/gateway/limit_test.go
+++ b/internal/process/gateway/limit_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -383,3 +384,23 @@
 		t.Errorf("%d requests in 12 s, it takes %g", n, 12*limit)
 	}
 }
+
+// An endpoint that refuses each request, without saying for how long, doesn't use up the
+// retries: no caller is refused while another endpoint is free.
+func TestEndpointThatRefusesAllUsesUpRetries(t *testing.T) {
+	t.Parallel()
+	s := startLimitSite(t, 4)
+	var refused atomic.Int64
+	s.entries[0].endpoint("i-full", "shop", "a", func(rw http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		refused.Add(1)
+		rw.Header().Set("X-Fulmardeal-Not-Run", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	})
+	e := s.endpoint("i-free")
+	s.load(83, 10*time.Second, false)
+	t.Logf("%d requests refused by the endpoint, %d served by the other; statuses %v", refused.Load(), len(e.arrivals), s.statuses)
+	if n := s.refused(); n > 0 {
+		t.Errorf("%d callers refused beside a free endpoint: %v", n, s.statuses)
+	}
+}
--- a/internal/traffic/dispatch/endpoint.go
+++ b/internal/traffic/dispatch/endpoint.go
@@ -27,8 +27,11 @@
 	suspectMax = 4 * time.Second
 
 	// fullBackoff is how long an endpoint gets no requests after it refused one
-	// for lack of capacity. It is about one pass of an engine.
-	fullBackoff = 60 * time.Millisecond
+	// for lack of capacity. It is about one pass of an engine. It doubles with each
+	// further refusal, up to maxFullBackoff, until the endpoint answers a request: each
+	// refusal takes a retry from the budget.
+	fullBackoff    = 60 * time.Millisecond
+	maxFullBackoff = time.Second
 
 	// mismatchBackoff is how long an endpoint gets no requests after an
 	// OutcomeMismatch. The next registration, which corrects the entry's
@@ -92,6 +95,7 @@
 	// fullUntil is the time until which the endpoint gets no requests, because it
 	// refused one for lack of capacity.
 	fullUntil     time.Time
+	refusals      int // consecutive refusals for lack of capacity
 	limitKey      ratelimit.Key
 	notice        *notice     // what it has said about itself; nil if nothing
 	mismatchUntil time.Time   // until this time the endpoint gets no requests, because of an OutcomeMismatch
@@ -126,7 +130,7 @@
 	restarted := !e.registration.Born.Equal(r.Born)
 	if restarted {
 		e.statusAt, e.loadingUntil, e.suspectUntil, e.silentUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
-		e.consecutiveFailures, e.failureRate = 0, 0
+		e.consecutiveFailures, e.failureRate, e.refusals = 0, 0, 0
 	}
 	if e.registration.Sequence != r.Sequence {
 		e.mismatchUntil = time.Time{}
@@ -167,10 +171,11 @@
 func (e *Endpoint) recordOutcome(now time.Time, outcome Outcome) {
 	switch outcome {
 	case OutcomeServed:
-		e.consecutiveFailures = 0
+		e.consecutiveFailures, e.refusals = 0, 0
 		e.failureRate -= failureWeight * e.failureRate
 	case OutcomeFull:
-		e.fullUntil = now.Add(fullBackoff)
+		e.fullUntil = now.Add(min(fullBackoff<<min(e.refusals, 8), maxFullBackoff))
+		e.refusals++
 	case OutcomeMismatch:
 		e.mismatchUntil = now.Add(mismatchBackoff)
 	case OutcomeFailed:
@@ -260,6 +265,7 @@
 // recordFirstEvent updates the lag with the measured and the predicted time to
 // the first event. The lag reveals slow endpoints and slow network paths.
 func (e *Endpoint) recordFirstEvent(now time.Time, took, predicted time.Duration) {
+	e.refusals = 0
 	lag := max(0, took-predicted)
 	previous := e.currentLag(now)
 	e.lag = previous + time.Duration(lagWeight*float64(lag-previous))
