process/gateway, traffic/budget: an entry that was alone keeps no more than its share of the retries

An entry took its share of the retries by the number of entries that it knew when the first request for a service came, and kept it: those that start one after the other have 1, 1/2, 1/3, ... of the whole.

TestEntriesThatStartLaterExceedRetryBudget, four entries and no retries by ratio: 58 retries of 160 requests before where 40 are allowed; passes now. The shares follow the number of entries each second. One retry each remains the least, above the whole where entries outnumber it.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -433,6 +433,7 @@
 		if now.Sub(lastGauges) >= reportInterval {
 			lastGauges = now
 			g.updateGauges()
+			g.shareRetries()
 		}
 		if g.roster.Expire(now) {
 			g.refreshTable(now)
@@ -479,10 +480,24 @@
 	defer g.mu.Unlock()
 	r := g.retryBudgets[service]
 	if r == nil {
-		b := g.settings.Bounds
-		share := b.RetryExtra * retryBudgetFraction / float64(1+g.mesh.PeerCount())
-		r = budget.NewRetryBudget(b.RetryRatio*retryBudgetFraction, max(1, share))
+		r = budget.NewRetryBudget(g.settings.Bounds.RetryRatio*retryBudgetFraction, g.retryBurst())
 		g.retryBudgets[service] = r
 	}
 	return r
 }
+
+// retryBurst returns this entry's share of the retries that all entries may make in addition
+// to the ratio.
+func (g *Gateway) retryBurst() float64 {
+	return max(1, g.settings.Bounds.RetryExtra*retryBudgetFraction/float64(1+g.mesh.PeerCount()))
+}
+
+// shareRetries adapts the budgets to the number of entries.
+func (g *Gateway) shareRetries() {
+	burst := g.retryBurst()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.retryBudgets {
+		r.SetBurst(burst)
+	}
+}
--- a/internal/traffic/budget/retry.go
+++ b/internal/traffic/budget/retry.go
@@ -6,9 +6,9 @@
 // multiply the load when endpoints fail. It is safe for concurrent use.
 type RetryBudget struct {
 	ratio float64 // retries allowed per request
-	burst float64 // maximum of the field available, in retries
 
 	mu        sync.Mutex
+	burst     float64 // maximum of the field available, in retries
 	available float64
 }
 
@@ -17,6 +17,15 @@
 	return &RetryBudget{ratio: ratio, burst: burst, available: burst}
 }
 
+// SetBurst changes the maximum of the retries that are available at once, such as when entries
+// that share it have come or gone.
+func (b *RetryBudget) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.burst = burst
+	b.available = min(b.available, burst)
+}
+
 // Deposit credits the budget for one request.
 func (b *RetryBudget) Deposit() {
 	b.mu.Lock()
--- a/internal/traffic/budget/retry_test.go
+++ b/internal/traffic/budget/retry_test.go
@@ -29,6 +29,8 @@
 		switch words[0] {
 		case "budget": // RATIO BURST
 			b = NewRetryBudget(numbers[0], numbers[1])
+		case "burst": // BURST
+			b.SetBurst(numbers[0])
 		case "requests": // NUMBER
 			repeat(b.Deposit)
 		case "refunds": // NUMBER
