proof/soak, standin/site: endpoints name limits

A fault of the soak, need: an endpoint names a limit of 0 to 6 requests a second for 6 to 14 s, beside all other faults. The soak counts what reaches it in any 4 s from the entries that were told, were not restarted and not disturbed since.

--- a/internal/proof/soak/checker.go
+++ b/internal/proof/soak/checker.go
@@ -30,6 +30,7 @@
 	GuaranteePaused         Guarantee = "paused"          // an endpoint that asks an entry for a pause receives no requests from it
 	GuaranteeWeightsVersion Guarantee = "weights-version" // a published version of the weights replaces older ones in time
 	GuaranteeIntactWeights  Guarantee = "intact-weights"  // engines serve only weights that the origin published
+	GuaranteeLimit          Guarantee = "limit"           // an endpoint that names a limit gets no more requests from all entries together
 	GuaranteeColdRate       Guarantee = "cold-rate"       // the request rate of an endpoint in its cold phase stays within its limit
 	GuaranteeRetryBudget    Guarantee = "repeat-budget"   // retries, counted as arrivals after a request's first, stay within their budget
 	GuaranteeDeadline       Guarantee = "deadline"        // endpoints are given no more time than the request has left
@@ -152,6 +153,7 @@
 	evacuations  []requirement
 	draining     []requirement
 	notices      []notice
+	limits       []*limitRecord
 	restarts     []restart
 	published    []requirement
 	poisoned     map[string]*poisonRecord
@@ -297,6 +299,7 @@
 	c.checkUnmodified(r, a)
 	c.checkDestination(r, a)
 	c.checkNotices(r, a)
+	c.checkLimit(r, a)
 	c.checkPoison(r, a)
 	c.checkArrivalAfterLeaving(r, a)
 	left := r.deadline - a.Time.Sub(r.sent)
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -52,6 +52,17 @@
 	f.receive(n)
 }
 
+// limited lets the endpoint name a limit of 1 request a second, and requests arrive some time
+// afterwards.
+func (f *fixture) limited(after time.Duration, n int) {
+	f.addLimit(f.arrival.Endpoint, 1)
+	f.requests[f.req.attempt] = f.req
+	f.LimitSent(f.arrival, 1)
+	f.req.deadline = time.Minute
+	time.Sleep(after)
+	f.receive(n)
+}
+
 // receive lets the request reach the endpoint several times.
 func (f *fixture) receive(n int) {
 	f.arrival.Time = time.Now()
@@ -118,6 +129,15 @@
 		breaks Guarantee // guarantee that is violated; empty for none
 	}{
 		{"run once", once, func(f *fixture) { f.run(); f.respondOK("x") }, ""},
+		{"within a limit", once, func(f *fixture) { f.limited(settleTime+time.Second, 11) }, ""},
+		{"above a limit", once, func(f *fixture) { f.limited(settleTime+time.Second, 12) }, GuaranteeLimit},
+		{"before a limit is kept", once, func(f *fixture) { f.limited(settleTime-time.Second, 20) }, ""},
+		{"above a limit, entry disturbed", once, func(f *fixture) {
+			f.limited(time.Second, 0)
+			f.Disturb(entryScope(0))
+			time.Sleep(settleTime)
+			f.receive(20)
+		}, ""},
 		{"run twice", once, func(f *fixture) { f.run(); f.run() }, GuaranteeAtMostOnce},
 		{"read twice", read, func(f *fixture) { f.run(); f.run(); f.respondOK("x") }, ""},
 		{"refused, ran before", once, func(f *fixture) { f.run(); f.respond(503, "", "", nil) }, GuaranteeTrueRefusal},
--- a/internal/proof/soak/inject.go
+++ b/internal/proof/soak/inject.go
@@ -222,6 +222,13 @@
 	case FaultRevert:
 		e.Revert()
 		return true
+	case FaultNeed:
+		end := d.checker.limit(e, f.limitRate())
+		e.SetLimit(fulmardeal.RateLimit{Kind: fulmardeal.LimitNamed, Rate: f.limitRate()})
+		time.Sleep(f.For)
+		end()
+		e.SetLimit(fulmardeal.RateLimit{})
+		return true
 	}
 	return false
 }
--- a/internal/proof/soak/plan.go
+++ b/internal/proof/soak/plan.go
@@ -67,6 +67,7 @@
 	FaultSecondHead  Kind = "second-head" // an engine cuts streams, and writes a second response into resumed ones
 	FaultLeavers     Kind = "leavers"     // callers leave in the middle of requests that last long
 	FaultOddRecords  Kind = "odd-records" // another writer's invalid records are among the registrations
+	FaultNeed        Kind = "need"        // an endpoint names a limit of requests per second
 )
 
 // targetKind is the kind of target that a fault affects.
@@ -141,6 +142,7 @@
 	{FaultSecondHead, targetEngine, 2},
 	{FaultLeavers, targetNothing, 4},
 	{FaultOddRecords, targetNothing, 2},
+	{FaultNeed, targetEndpoint, 6},
 }
 
 // Fault is one fault of a plan.
@@ -256,6 +258,12 @@
 	maxLeavers = 6 * time.Second
 )
 
+// Endpoints name a limit for so long that the bound on it applies.
+const (
+	minNeed = 6 * time.Second
+	maxNeed = 14 * time.Second
+)
+
 // durations returns the minimum and the maximum length of a fault.
 func (k Kind) durations() (shortest, longest time.Duration) {
 	switch k {
@@ -265,6 +273,8 @@
 		return minPoison, maxPoison
 	case FaultLeavers:
 		return minLeavers, maxLeavers
+	case FaultNeed:
+		return minNeed, maxNeed
 	}
 	return minDuration, maxDuration
 }
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -45,6 +45,9 @@
 	// NoticeSent is called before a response that says that the endpoint is leaving,
 	// or asks for a pause.
 	NoticeSent(a ReceivedRequest, leaving bool, pause time.Duration)
+
+	// LimitSent is called before a response that names a limit of requests per second.
+	LimitSent(a ReceivedRequest, rate float64)
 }
 
 // Fault is a fault that an endpoint injects.
@@ -117,6 +120,7 @@
 	stale      staleReports
 	startTime  time.Time
 	fault      Fault
+	limit      fulmardeal.RateLimit // named in all responses
 	requests   int
 	refusals   int // that FaultRepeat has made
 	running    int
@@ -213,6 +217,13 @@
 	e.fault = f
 }
 
+// SetLimit sets the limit that the endpoint names in its responses. It doesn't enforce it.
+func (e *Endpoint) SetLimit(l fulmardeal.RateLimit) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = l
+}
+
 // Registration returns the endpoint's current registration, with a new sequence
 // number, and whether the endpoint is up.
 func (e *Endpoint) Registration() (fulmardeal.Registration, bool) {
@@ -273,6 +284,9 @@
 	if e.fault == FaultShed && refusal == http.StatusServiceUnavailable {
 		reply.Pause = ShedPause
 	}
+	if reply.Limit = e.limit; e.limit.Kind == fulmardeal.LimitNamed {
+		e.options.Observer.LimitSent(a, e.limit.Rate)
+	}
 	if reply.Leaving || reply.Pause > 0 {
 		e.options.Observer.NoticeSent(a, reply.Leaving, reply.Pause)
 	}
--- a/internal/standin/site/silence_test.go
+++ b/internal/standin/site/silence_test.go
@@ -36,6 +36,7 @@
 func (*arrivals) RequestStarted(site.ReceivedRequest)                  {}
 func (*arrivals) RequestEnded(site.ReceivedRequest)                    {}
 func (*arrivals) NoticeSent(site.ReceivedRequest, bool, time.Duration) {}
+func (*arrivals) LimitSent(site.ReceivedRequest, float64)              {}
 
 // startEndpoint starts an endpoint and returns it with its address and its arrivals.
 func startEndpoint(t *testing.T, engine bool) (*site.Endpoint, string, *arrivals) {
