--- a/internal/traffic/ratelimit/fleet_test.go
+++ b/internal/traffic/ratelimit/fleet_test.go
@@ -82,6 +82,7 @@
 	nodes     []*entry
 	network   []datagram
 	sends     []time.Time // requests that reach the endpoint
+	datagrams int         // between entries
 	issuer    int         // as the entries know it
 	issuerAt  time.Time   // when they learn of a new one
 	nextIssue int
@@ -101,8 +102,11 @@
 }
 
 func (s *simulation) post(d datagram) {
-	if d.from != d.to && s.rng.Float64() < s.loss {
-		return
+	if d.from != d.to {
+		s.datagrams++
+		if s.rng.Float64() < s.loss {
+			return
+		}
 	}
 	d.at = s.now
 	if d.from != d.to {
@@ -310,7 +314,7 @@
 			if float64(total) < least {
 				t.Errorf("%d requests in 20 s; the endpoint takes %.0f", total, takes)
 			}
-			t.Logf("%d requests in 20 s of %.0f that it takes; at most %d in 4 s", total, takes, s.most(from))
+			t.Logf("%d requests in 20 s of %.0f that it takes; at most %d in 4 s; %d datagrams a second", total, takes, s.most(from), s.datagrams/23)
 		})
 	}
 }
--- a/internal/traffic/ratelimit/table.go
+++ b/internal/traffic/ratelimit/table.go
@@ -66,7 +66,7 @@
 // limit is the state of an endpoint that has a limit, or had one.
 type limit struct {
 	notice     Notice
-	source     string  // name of the entry that got the endpoint's answer; empty if it is this one
+	source     string  // address of the entry that told this one; empty if the endpoint did
 	cold       float64 // rate at which the endpoint takes requests while it is cold; 0 if that is no limit
 	lastUsed   time.Time
 	passedOver int64 // decisions against the endpoint because of its limit
@@ -198,7 +198,7 @@
 type State struct {
 	Rate       float64 `json:"rate"`   // requests per second that the endpoint takes
 	Named      bool    `json:"named"`  // the endpoint has named it; otherwise it is the cold rate
-	Source     string  `json:"source"` // entry that got the endpoint's answer; empty if it is this one
+	Source     string  `json:"source"` // address of the entry that told this one; empty if the endpoint did
 	Age        string  `json:"age"`    // time since it was last named
 	Grants     int     `json:"grants"` // unused grants
 	Sent       int64   `json:"sent"`   // requests sent with a grant
