--- a/internal/process/local/departure_test.go
+++ b/internal/process/local/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -141,3 +142,103 @@
 		}
 	}
 }
+
+const completionBody = `{"model":"%s","stream":true,"max_tokens":400,"messages":[{"role":"user","content":"a long verse"}]}`
+
+// A stream ends at its engine soon after its caller has closed the connection in its middle.
+func TestStreamEndsWithItsCaller(t *testing.T) {
+	x := startWithWork(t, departureWork)
+	if _, err := x.Deploy(t.Context(), "v1"); err != nil {
+		t.Fatal(err)
+	}
+	address := x.Entries()[0].Entry.Address()
+	for _, reset := range []bool{false, true} {
+		c := beginStream(t, address)
+		if running(x) == 0 {
+			t.Fatal("the stream doesn't run")
+		}
+		if reset {
+			if err := c.SetLinger(0); err != nil {
+				t.Error(err)
+			}
+		}
+		c.Close()
+		left := time.Now()
+		for running(x) > 0 && time.Since(left) < 2*departureWork {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if d := time.Since(left); d > departureBound {
+			t.Errorf("reset %v: still running %v after the close", reset, d.Round(time.Millisecond))
+		}
+	}
+}
+
+// beginStream sends a request for a stream until its first event has come, and returns its
+// connection.
+func beginStream(t *testing.T, address string) *net.TCPConn {
+	t.Helper()
+	body := strings.Replace(completionBody, "%s", modelName, 1)
+	for range 100 {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		_, _ = fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-bahar\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		if err := c.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		reader := bufio.NewReader(c)
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			continue
+		}
+		line, err := bufio.NewReader(response.Body).ReadString('\n')
+		if err == nil && response.StatusCode == http.StatusOK {
+			return c.(*net.TCPConn)
+		}
+		t.Logf("status %d: %s", response.StatusCode, line)
+		c.Close()
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatal("no stream has begun")
+	return nil
+}
+
+// A request whose caller leaves while it waits in the entry's queue never reaches an endpoint.
+func TestQueuedRequestRunsWithoutItsCaller(t *testing.T) {
+	x := startWithWork(t, departureWork)
+	address := x.Entries()[0].Entry.Address()
+	callers := []net.Conn{begin(t, x, address)}
+	send := func() net.Conn {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		_, _ = io.WriteString(c, catalogueRead) // a failure shows as a request that doesn't arrive
+		return c
+	}
+	for n := 0; running(x) > n && n < 100; { // until the endpoint is full
+		n = running(x)
+		callers = append(callers, send())
+		time.Sleep(100 * time.Millisecond)
+	}
+	queued := []net.Conn{send(), send()}
+	time.Sleep(50 * time.Millisecond)
+	for _, c := range append(queued, callers...) {
+		c.Close()
+	}
+	left := time.Now()
+	for running(x) > 0 && time.Since(left) < 2*departureWork {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if d := time.Since(left); d > departureBound {
+		t.Errorf("%d callers: still running %v after all have left", len(callers), d.Round(time.Millisecond))
+	}
+	time.Sleep(departureBound)
+	if n := running(x); n > 0 {
+		t.Errorf("%d requests run although all callers have left", n)
+	}
+	t.Logf("%d requests ran at once", len(callers)-1)
+}
