--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -84,12 +84,6 @@
 	defaultBufferedBytes = 64 << 20 // the same without a memory limit
 
 	defaultMaxBodyBytes = 4 << 20 // of a request's body, if the configuration sets no limit
-
-	// retryBudgetFraction is the fraction of this entry's share of the
-	// retry budget that it uses. The rest is a reserve, because refusals by
-	// endpoints count as retries too and requests are spread unevenly over
-	// the entries.
-	retryBudgetFraction = 0.7
 )
 
 // Names of the feeds in the requests that entries send to each other's relays.
@@ -473,31 +467,3 @@
 	age, known := g.operator.Age()
 	return age, known && age < g.settings.Bounds.KeyRevocation-revokeMargin
 }
-
-// retryBudget returns this entry's budget of retries for a service.
-func (g *Gateway) retryBudget(service string) *budget.RetryBudget {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	r := g.retryBudgets[service]
-	if r == nil {
-		r = budget.NewRetryBudget(g.settings.Bounds.RetryRatio*retryBudgetFraction, g.retryBurst())
-		g.retryBudgets[service] = r
-	}
-	return r
-}
-
-// retryBurst returns this entry's share of the retries that all entries may make in addition
-// to the ratio.
-func (g *Gateway) retryBurst() float64 {
-	return max(1, g.settings.Bounds.RetryExtra*retryBudgetFraction/float64(1+g.mesh.PeerCount()))
-}
-
-// shareRetries adapts the budgets to the number of entries.
-func (g *Gateway) shareRetries() {
-	burst := g.retryBurst()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, r := range g.retryBudgets {
-		r.SetBurst(burst)
-	}
-}
--- a/internal/process/gateway/heads_test.go
+++ b/internal/process/gateway/heads_test.go
@@ -52,24 +52,6 @@
 	return fmt.Sprintf("?form=%s&at=%d&reset=%v&kept=%v", c.form, c.at, c.reset, c.kept)
 }
 
-func (e *cuttingEndpoint) listen(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(conn.(*net.TCPConn))
-		}
-	}()
-	return l.Addr().String()
-}
-
 func (e *cuttingEndpoint) serve(conn *net.TCPConn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
@@ -121,7 +103,7 @@
 		c.Services[0].Connections = 1000
 		w.configure(c)
 		for i := range 2 {
-			w.register(fulmardeal.Registration{ID: fmt.Sprintf("i-%d", i), Service: "shop", Address: e.listen(t), DataCentre: "a", Slots: 100})
+			w.register(fulmardeal.Registration{ID: fmt.Sprintf("i-%d", i), Service: "shop", Address: serveConns(t, e.serve), DataCentre: "a", Slots: 100})
 		}
 	})
 	var calls sync.WaitGroup
--- a/internal/process/gateway/rawendpoint_test.go
+++ b/internal/process/gateway/rawendpoint_test.go
@@ -128,3 +128,24 @@
 	e.listener.Close()
 	e.breakConns()
 }
+
+// serveConns listens until the end of the test, calls serve for each connection, and returns the
+// address.
+func serveConns(t *testing.T, serve func(*net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
--- a/internal/process/gateway/repeat_test.go
+++ b/internal/process/gateway/repeat_test.go
@@ -86,21 +86,7 @@
 }
 
 func (e *refusingEndpoint) listen(t *testing.T, instance string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(conn, instance)
-		}
-	}()
-	return l.Addr().String()
+	return serveConns(t, func(conn *net.TCPConn) { e.serve(conn, instance) })
 }
 
 func (e *refusingEndpoint) serve(conn net.Conn, instance string) {
--- a/internal/traffic/dispatch/reservation.go
+++ b/internal/traffic/dispatch/reservation.go
@@ -27,6 +27,30 @@
 	passedOver int  // endpoints that were not selected because of their limits
 }
 
+// assignment is a slot at an endpoint that has been assigned to a request.
+type assignment struct {
+	endpoint   *Endpoint
+	permit     ratelimit.Permit
+	passedOver int // endpoints that were not selected because of their limits
+}
+
+func (t *Table) newReservation(now time.Time, g *group, a assignment, req *Request, expected time.Duration) *Reservation {
+	return &Reservation{
+		table: t, group: g, endpoint: a.endpoint, promptTokens: req.PromptTokens, weights: a.endpoint.weights, sentAt: now, expected: expected,
+		limitKey: a.endpoint.limitKey, permit: a.permit, passedOver: a.passedOver,
+	}
+}
+
+// queuedReservation returns the reservation for an endpoint assigned to a
+// queued request.
+func (t *Table) queuedReservation(w *waiter, a assignment) *Reservation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	expected := predict(t.fleetState(now, w.group), a.endpoint, w.request) - a.endpoint.currentLag(now)
+	return t.newReservation(now, w.group, a, w.request, expected)
+}
+
 // Endpoint returns the endpoint on which the slot is reserved.
 func (r *Reservation) Endpoint() *Endpoint { return r.endpoint }
 
--- a/internal/traffic/dispatch/table.go
+++ b/internal/traffic/dispatch/table.go
@@ -361,13 +361,6 @@
 	return predictFirstEvent(s, s.Slots, 0, req.PromptTokens)
 }
 
-// assignment is a slot at an endpoint that has been assigned to a request.
-type assignment struct {
-	endpoint   *Endpoint
-	permit     ratelimit.Permit
-	passedOver int // endpoints that were not selected because of their limits
-}
-
 // assign accounts for a request that is about to be sent to an endpoint.
 func (t *Table) assign(now time.Time, f *fleetState, e *Endpoint, req *Request) assignment {
 	e.inProgress++
@@ -381,23 +374,6 @@
 	return assignment{endpoint: e, permit: permit, passedOver: f.passedOver}
 }
 
-func (t *Table) newReservation(now time.Time, g *group, a assignment, req *Request, expected time.Duration) *Reservation {
-	return &Reservation{
-		table: t, group: g, endpoint: a.endpoint, promptTokens: req.PromptTokens, weights: a.endpoint.weights, sentAt: now, expected: expected,
-		limitKey: a.endpoint.limitKey, permit: a.permit, passedOver: a.passedOver,
-	}
-}
-
-// queuedReservation returns the reservation for an endpoint assigned to a
-// queued request.
-func (t *Table) queuedReservation(w *waiter, a assignment) *Reservation {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	expected := predict(t.fleetState(now, w.group), a.endpoint, w.request) - a.endpoint.currentLag(now)
-	return t.newReservation(now, w.group, a, w.request, expected)
-}
-
 // refusal records a refusal and returns its error.
 func (t *Table) refusal(req *Request, reason RefusalReason, waited time.Duration) *RefusedError {
 	t.mu.Lock()
@@ -461,46 +437,3 @@
 		t.assignQueued(now, g)
 	}
 }
-
-// EndpointState is the state of one endpoint in a state dump.
-type EndpointState struct {
-	ID          string  `json:"id"`
-	Service     string  `json:"service"`
-	Address     string  `json:"address"`
-	Running     int     `json:"running"` // requests of this entry in progress
-	PeerRunning int     `json:"others"`  // requests of other entries in progress
-	Weights     int64   `json:"weights"`
-	FailureRate float64 `json:"failing"`
-	Suspect     bool    `json:"suspect"`
-
-	Limit *ratelimit.State `json:"limit,omitempty"` // nil if the endpoint has no limit on the rate of requests
-}
-
-// EndpointStates returns the state of all endpoints for a state dump.
-func (t *Table) EndpointStates(now time.Time) []EndpointState {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []EndpointState
-	for name, g := range t.services {
-		f := t.fleetState(now, g)
-		for _, e := range g.endpoints {
-			out = append(out, EndpointState{
-				ID: e.ID(), Service: name, Address: e.Address(), Running: e.inProgress, PeerRunning: f.peerLoads[e.hash].inProgress,
-				Weights: e.weights, FailureRate: e.failureRate, Suspect: e.isSuspect(now),
-				Limit: t.limits.State(now, e.limitKey),
-			})
-		}
-	}
-	return out
-}
-
-// Counts returns the number of known endpoints and of queued requests.
-func (t *Table) Counts() (endpoints, waiting int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, g := range t.services {
-		endpoints += len(g.endpoints)
-		waiting += len(g.queue.waiters)
-	}
-	return endpoints, waiting
-}
