standin/site: what an endpoint says counts as said when its response is written

The entry's log: requests that callers had left, whose connections were reset after 0.06 to 0.38 s; the first answer that says so arrives at 14:02:39.288, with the request itself. The endpoint counted what it says when a request got its slot, 1.3 s before the response is written, and so also in responses that were never written.

The observer is told now just before the response is written, and not at all if its connection has been closed: as strict for each response that is sent.

--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -260,6 +260,7 @@
 	e.addNotice(a, refusal, &reply)
 	if refusal != 0 {
 		reply.NotRun = true
+		e.recordNotice(ctx, a, reply)
 		e.rememberRefusal(r, refusal, reply)
 		platform.PeerCodec{}.SetResponseMetadata(w.Header(), reply, "")
 		w.WriteHeader(refusal)
@@ -284,8 +285,17 @@
 	if e.fault == FaultShed && refusal == http.StatusServiceUnavailable {
 		reply.Pause = ShedPause
 	}
-	if reply.Limit = e.limit; e.limit.Kind == fulmardeal.LimitNamed {
-		e.options.Observer.LimitSent(a, e.limit.Rate)
+	reply.Limit = e.limit
+}
+
+// recordNotice tells the observer what the response that is about to be written says about the
+// endpoint. A response on a connection that has been closed tells nobody.
+func (e *Endpoint) recordNotice(ctx context.Context, a ReceivedRequest, reply fulmardeal.ResponseMetadata) {
+	if ctx.Err() != nil {
+		return
+	}
+	if reply.Limit.Kind == fulmardeal.LimitNamed {
+		e.options.Observer.LimitSent(a, reply.Limit.Rate)
 	}
 	if reply.Leaving || reply.Pause > 0 {
 		e.options.Observer.NoticeSent(a, reply.Leaving, reply.Pause)
@@ -375,6 +385,7 @@
 	}
 	if e.options.Engine == nil {
 		sleep(ctx, delay+a.Work.Time)
+		e.recordNotice(ctx, a, reply)
 		body := Body(a.Attempt, a.Endpoint.ID, a.Body)
 		platform.PeerCodec{}.SetResponseMetadata(w.Header(), reply, Signature(a.Attempt, a.Endpoint.ID, body))
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -385,6 +396,7 @@
 		_ = writeInParts(w, body) // fails only when the caller has disconnected
 		return
 	}
+	e.recordNotice(ctx, a, reply)
 	platform.PeerCodec{}.SetResponseMetadata(w.Header(), reply, Signature(a.Attempt, a.Endpoint.ID, nil))
 	if fault == FaultErrorText && a.Forward.LastEventID != "" {
 		writeErrorText(w)
--- a/internal/standin/site/silence_test.go
+++ b/internal/standin/site/silence_test.go
@@ -40,6 +40,14 @@
 
 // startEndpoint starts an endpoint and returns it with its address and its arrivals.
 func startEndpoint(t *testing.T, engine bool) (*site.Endpoint, string, *arrivals) {
+	t.Helper()
+	seen := &arrivals{}
+	e, address := startObserved(t, engine, seen)
+	return e, address, seen
+}
+
+// startObserved starts an endpoint with an observer and returns it with its address.
+func startObserved(t *testing.T, engine bool, o site.Observer) (*site.Endpoint, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -47,8 +55,7 @@
 	}
 	address := l.Addr().String()
 	l.Close()
-	seen := &arrivals{}
-	opts := site.EndpointOptions{Service: "shop", DataCentre: "a", Address: address, ListenAddress: address, Slots: 4, ServiceTime: testService, Observer: seen}
+	opts := site.EndpointOptions{Service: "shop", DataCentre: "a", Address: address, ListenAddress: address, Slots: 4, ServiceTime: testService, Observer: o}
 	if engine {
 		opts.Origin = site.NewOrigin(2, 100)
 		opts.Engine = &fulmardeal.EngineSpec{Layers: 2, Chunks: 2, ChunkSize: 100, Models: []fulmardeal.EngineModel{{Name: "rhyme"}}}
@@ -58,7 +65,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { e.Crash(false) })
-	return e, address, seen
+	return e, address
 }
 
 // answer is the answer to a request, with the longest pause between two of its bytes.
