--- a/internal/traffic/dispatch/limit.go
+++ b/internal/traffic/dispatch/limit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -12,9 +13,10 @@
 	"fulmardeal/internal/traffic/ratelimit"
 )
 
-// Endpoints that take a limited rate of requests from all entries together: those that name a
-// limit, and cold ones where each entry's share of the cold rate would be less than one request
-// per second. A request is sent there only with a grant; see package ratelimit.
+// This file applies the limits of endpoints that take a limited rate of requests from all
+// entries together: those that name a limit, and cold ones where each entry's share of the cold
+// rate would be less than one request per second. A request is sent there only with a grant; see
+// package ratelimit.
 
 // demandPeriod is the time over which the rate of requests for a service is averaged.
 const demandPeriod = time.Second
@@ -115,7 +117,7 @@
 	g.queue.sortByUrgency(now)
 	f := t.fleetState(now, g)
 	ahead := 0
-	for _, w := range append([]*waiter(nil), g.queue.waiters...) {
+	for _, w := range slices.Clone(g.queue.waiters) {
 		if t.exceedsLimits(f, w, ahead) {
 			g.queue.remove(w)
 			w.refused <- RefusedLimited
@@ -125,15 +127,18 @@
 	}
 }
 
-// recordLimit records what an endpoint's answer says of its limit, and reports whether that is
-// news. sent is when the request was sent. The caller must hold t.mu.
-func (t *Table) recordLimit(now time.Time, key ratelimit.Key, sent time.Time, limit fulmardeal.RateLimit) bool {
-	news := false
+// RecordLimit records what the endpoint's answer says of its limit, and reports whether that
+// is news. sent is when the request was sent.
+func (r *Reservation) RecordLimit(sent time.Time, limit fulmardeal.RateLimit) bool {
+	t := r.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, news := time.Now(), false
 	switch limit.Kind {
 	case fulmardeal.LimitNamed:
-		news = t.limits.Name(now, key, limit.Rate)
+		news = t.limits.Name(now, r.limitKey, limit.Rate)
 	case fulmardeal.LimitNone:
-		news = t.limits.End(now, key, sent)
+		news = t.limits.End(now, r.limitKey, sent)
 	}
 	if news {
 		t.wakeLimits()
@@ -141,15 +146,6 @@
 	return news
 }
 
-// RecordLimit records what the endpoint's answer says of its limit, and reports whether that
-// is news. sent is when the request was sent.
-func (r *Reservation) RecordLimit(sent time.Time, limit fulmardeal.RateLimit) bool {
-	t := r.table
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.recordLimit(time.Now(), r.limitKey, sent, limit)
-}
-
 // LimitError reports that an endpoint takes no further request now.
 type LimitError struct {
 	Rate float64 // requests per second that it takes from all entries
