--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -14,4 +14,7 @@
 if [ "${CHUNKED:-0}" = 1 ]; then
   args+=(-chunked) # the runners answer in chunks instead
 fi
+if [ -n "${PARTS:-}" ]; then
+  args+=(-parts "$PARTS") # so many further parts that all prompts share
+fi
 exec target/review/play "${args[@]}" poison
--- a/review/standin/play/main.go
+++ b/review/standin/play/main.go
@@ -19,6 +19,7 @@
 	runner  = flag.String("runner", "target/review/runner", "the stand-in of a model runner")
 	record  = flag.String("record", "record.txt", "file that gets what was sent, answered and run")
 	trouble = flag.Bool("trouble", true, "whether the disruption happens")
+	parts   = flag.Int("parts", 0, "further parts that all prompts share, in the case poison")
 	chunked = flag.Bool("chunked", false, "runners answer in chunks, where the case has them answer otherwise")
 )
 
--- a/review/standin/runner/main.go
+++ b/review/standin/runner/main.go
@@ -255,7 +255,7 @@
 	if err != nil {
 		return // the connection has ended
 	}
-	parts := strings.Join(metadata.PromptParts, ",")
+	parts := req.Header.Get("X-Fulmardeal-Prompt-Prefix")
 	report(event{Kind: "received", Attempt: metadata.AttemptID, Parts: parts})
 	ctx, cancel := context.WithTimeout(req.Context(), forward.Deadline)
 	defer cancel()
@@ -276,7 +276,7 @@
 	sum := sha256.Sum256([]byte(metadata.AttemptID + " " + *id))
 	header := http.Header{"Content-Type": {"text/event-stream"}}
 	platform.PeerCodec{}.SetResponseMetadata(header, reply, hex.EncodeToString(sum[:8]))
-	crashes := *poison != "" && slices.Contains(metadata.PromptParts, *poison)
+	crashes := *poison != "" && hasPart(req.Header, *poison)
 	write, end := framed(w, header)
 	if *unframed {
 		write, end, ctx, err = raw(ctx, w, header)
@@ -308,6 +308,14 @@
 	report(event{Kind: "end", Attempt: metadata.AttemptID})
 }
 
+// hasPart reports whether a prompt has a part.
+func hasPart(h http.Header, part string) bool {
+	return slices.ContainsFunc(strings.Split(h.Get("X-Fulmardeal-Prompt-Prefix"), ","), func(entry string) bool {
+		id, _, _ := strings.Cut(entry, ":")
+		return id == part
+	})
+}
+
 // acquire waits for a slot. It returns the version that serves the request and what is wrong
 // with it, or the status of a refusal.
 func (r *runner) acquire(ctx context.Context, forward fulmardeal.ForwardMetadata) (version int64, spoilt string, status int) {
