--- a/review/standin/play/cases.go
+++ b/review/standin/play/cases.go
@@ -63,7 +63,7 @@
 	begun := time.Now()
 	poisonCtx, stopPoison := context.WithTimeout(ctx, 40*time.Second)
 	defer stopPoison()
-	poisoned.run(poisonCtx, d, 4, "poison-", 2*time.Second, func(a string) string { return shared() + poisonPart + ":100," + a + ":460" })
+	poisoned.run(poisonCtx, d, *senders, "poison-", *pause, func(a string) string { return shared() + poisonPart + ":100," + a + ":460" })
 	end := time.Now()
 	stop()
 	crowds.Wait()
@@ -105,6 +105,10 @@
 	during, allDuring := sound.share(begun, end, func(a answer) bool { return a.begun })
 	d.note("crashes: %d; requests with the part that reached runners later than contactMs after the fifth: %d", crashes, late)
 	d.note("sound requests that began at the first attempt: %d of %d before, %d of %d meanwhile", before, allBefore, during, allDuring)
+	if !fifth.IsZero() {
+		later, allLater := sound.share(fifth.Add(2*contact), end, func(a answer) bool { return a.begun })
+		d.note("the same from 2 x contactMs after the fifth crash on: %d of %d", later, allLater)
+	}
 	if late > 3 {
 		return fmt.Sprintf("BUDGET: %d requests with the part reached runners later than contactMs after the fifth crash, 3 are allowed; %d crashes", late, crashes)
 	}
--- a/review/standin/play/main.go
+++ b/review/standin/play/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"time"
 )
 
 var (
@@ -20,6 +21,8 @@
 	record  = flag.String("record", "record.txt", "file that gets what was sent, answered and run")
 	trouble = flag.Bool("trouble", true, "whether the disruption happens")
 	parts   = flag.Int("parts", 0, "further parts that all prompts share, in the case poison")
+	senders = flag.Int("senders", 4, "clients that send requests with the part that crashes, in the case poison")
+	pause   = flag.Duration("pause", 2*time.Second, "mean pause between two requests of such a client")
 	chunked = flag.Bool("chunked", false, "runners answer in chunks, where the case has them answer otherwise")
 )
 
