process/loader: order weights only soon after their chunks were verified

Cause: activate looked at no clock between the first read and the order. The runner's events show it: chunk 3 read, agent stopped at chunk 10, chunk 3 spoilt, agent goes on, order with chunk 3 bad for 4,539 ms. Ruled out: a stale read (the read precedes the corruption) and a repeated order (there is one).

Now each read keeps a reading of a clock that counts suspension, the order is withheld in its write if the oldest is older than 2.5 s, and a verification that takes longer than 2 s is followed by an order for the layers that it covered, so that slow engines are loaded too.

--- /dev/null
+++ b/internal/process/loader/activate.go
@@ -0,0 +1,207 @@
+package loader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"fulmardeal"
+	"fulmardeal/internal/fleet/catalogue"
+	"fulmardeal/internal/weights/chunk"
+	"fulmardeal/internal/weights/replica"
+)
+
+// Limits on the verification of staged chunks. A chunk that was intact when it was read may
+// have been corrupted since, so the order to load it has to follow soon.
+const (
+	// maxVerifiedAge is the maximum age of a verification when the order is sent. An
+	// engine must not load a chunk that turned bad more than 3 s before it accepted the
+	// order; the rest is for the order's way.
+	maxVerifiedAge = 2500 * time.Millisecond
+
+	// verifyTimeout bounds one verification. What has been verified by then is loaded, so
+	// that weights that take longer to read are loaded part by part.
+	verifyTimeout = 2 * time.Second
+
+	// stageTimeout bounds one run of copying buffered chunks to the engine. The next run
+	// continues it.
+	stageTimeout = 2 * time.Second
+)
+
+// layerRange is a contiguous range of layers: from the first to before the second.
+type layerRange struct{ from, to int }
+
+// missingLayers returns the first range of layers of a version that an engine has not
+// loaded, of a model with so many layers.
+func missingLayers(spans []fulmardeal.Span, version int64, layers int) layerRange {
+	loaded := func(layer int) bool {
+		for _, s := range spans {
+			if s.Version == version && s.From <= layer && layer < s.To {
+				return true
+			}
+		}
+		return false
+	}
+	var r layerRange
+	for r.from < layers && loaded(r.from) {
+		r.from++
+	}
+	for r.to = r.from; r.to < layers && !loaded(r.to); {
+		r.to++
+	}
+	return r
+}
+
+// orderPending reports whether the last order may still take effect: it was for the
+// version, the engine has not been restarted since, and doesn't hold what it was ordered
+// to load.
+func (s *loadState) orderPending(version int64, e fulmardeal.EngineState) bool {
+	age := time.Since(s.orderedAt)
+	if s.orderedVersion != version || age >= orderTimeout || !e.StartedAt.Equal(s.orderedStart) {
+		return false
+	}
+	if missing := missingLayers(e.Spans, version, s.ordered.to); missing.from >= s.ordered.to {
+		return false
+	}
+	return age < orderSettleTime || e.OrderCount > s.orderedCount
+}
+
+// activate orders the engine to load the newest version that has been downloaded
+// completely, once the time of its change has come. An engine that holds no
+// version loads at once. activate reports whether it should be called again soon.
+func (l *Loader) activate(ctx context.Context, target catalogue.Target, held int64, state fulmardeal.EngineState) bool {
+	s := &l.state
+	layers := max(1, target.Layers)
+	var newest *download
+	for _, d := range s.downloads {
+		if d.swarm != nil && !d.damaged && d.number > held && l.chunks.has(d.version) {
+			newest = d
+		}
+	}
+	if newest == nil {
+		return false
+	}
+	if state.Loading || s.orderPending(newest.number, state) {
+		return true
+	}
+	if held != 0 && time.Now().Before(l.changeTime(target.Model, held)) {
+		return true
+	}
+	if err := l.stage(ctx, newest.version); err != nil {
+		l.log.Warn("cannot stage chunks in the engine", "version", newest.version.String(), "err", err)
+		return true
+	}
+	missing := missingLayers(state.Spans, newest.number, layers)
+	started := time.Now()
+	v := l.verify(ctx, newest.swarm, missing, layers)
+	if n := v.Damaged(); n > 0 {
+		l.log.Warn("staged chunks failed verification; downloading them again", "version", newest.version.String(), "chunks", n)
+		newest.damaged, newest.retryAt = true, time.Now()
+		return true
+	}
+	verified := l.verifiedLayers(v, missing, layers)
+	if verified.to == verified.from {
+		l.log.Warn("staged chunks could not be verified in time", "version", newest.version.String(), "layers", missing.to-missing.from, "took", time.Since(started))
+		return true
+	}
+	l.reportStatus(held, true)
+	s.reportedLoading = true
+	sleep(ctx, drainLead)
+	return l.order(ctx, newest, v, verified, layers, state)
+}
+
+func (l *Loader) stage(ctx context.Context, v fulmardeal.Version) error {
+	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
+	defer cancel()
+	return l.chunks.stage(ctx, v)
+}
+
+// verify reads the staged chunks of some layers back.
+func (l *Loader) verify(ctx context.Context, s *chunk.Swarm, r layerRange, layers int) *chunk.Verification {
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	from, to := layerChunks(r, layers, s.Manifest().Chunks())
+	return l.exchange.VerifyStored(ctx, s, from, to, l.uptime)
+}
+
+// layerChunks returns the range of the chunks that contain some layers: from the first to
+// before the second.
+func layerChunks(r layerRange, layers, chunks int) (from, to int) {
+	return r.from * chunks / layers, (r.to*chunks + layers - 1) / layers
+}
+
+// verifiedLayers returns the longest range from the first of some layers whose chunks were
+// verified recently.
+func (l *Loader) verifiedLayers(v *chunk.Verification, r layerRange, layers int) layerRange {
+	now := l.uptime()
+	verified := layerRange{r.from, r.from}
+	for verified.to < r.to {
+		from, to := layerChunks(layerRange{verified.to, verified.to + 1}, layers, v.Chunks())
+		at, intact := v.VerifiedAt(from, to)
+		if !intact || now-at > maxVerifiedAge {
+			break
+		}
+		verified.to++
+	}
+	return verified
+}
+
+// staleVerificationError reports that staged chunks were verified too long before an order
+// to load them.
+type staleVerificationError struct{ age time.Duration }
+
+func (e *staleVerificationError) Error() string {
+	return fmt.Sprintf("chunks were verified %v ago, more than %v", e.age, maxVerifiedAge)
+}
+
+// order orders the engine to load layers of a version, which follow those that it holds.
+func (l *Loader) order(ctx context.Context, d *download, v *chunk.Verification, r layerRange, layers int, state fulmardeal.EngineState) bool {
+	from, to := layerChunks(r, layers, v.Chunks())
+	at, _ := v.VerifiedAt(from, to)
+	o := fulmardeal.LayerLoad{Version: d.version, State: state}
+	if r.to < layers {
+		o.Layers = r.to
+	}
+	o.Permit = func() error {
+		if age := l.uptime() - at; age > maxVerifiedAge {
+			return &staleVerificationError{age: age}
+		}
+		return nil
+	}
+	err := l.options.Engine.StartLoad(ctx, o)
+	var refused *fulmardeal.RefusedOrderError
+	var stale *staleVerificationError
+	switch {
+	case errors.As(err, &refused):
+		l.log.Warn("engine refused the load order", "version", d.version.String(), "reason", refused.Reason)
+		return false
+	case errors.As(err, &stale):
+		l.log.Warn("load order not sent", "version", d.version.String(), "err", err)
+		return true
+	case err != nil:
+		l.log.Warn("no response to the load order", "version", d.version.String(), "err", err)
+		return true
+	}
+	s := &l.state
+	s.orderedAt, s.orderedVersion, s.ordered = time.Now(), d.number, r
+	s.orderedStart, s.orderedCount = state.StartedAt, state.OrderCount
+	l.log.Info("load order sent to the engine", "version", d.version.String(), "from", r.from, "to", r.to, "layers", layers,
+		"verified", l.uptime()-at, "running", state.Running, "waiting", state.Waiting)
+	return true
+}
+
+// changeTime returns when this engine is to change from the version that it
+// holds to a newer one. The engines change one after the other, because an engine
+// accepts no requests while it changes.
+func (l *Loader) changeTime(model string, held int64) time.Time {
+	announced, superseded := l.catalogue.View().SupersededAt(model, held)
+	if !superseded {
+		return time.Time{}
+	}
+	var names []string
+	for _, p := range l.Peers() {
+		names = append(names, p.Incarnation)
+	}
+	return replica.ChangeTime(l.self().Incarnation, names, announced, l.options.Settings.Bounds.VersionSwitch)
+}
--- a/internal/process/loader/chunkstore.go
+++ b/internal/process/loader/chunkstore.go
@@ -44,6 +44,14 @@
 	return slices.IndexFunc(s.buffered, func(b bufferedVersion) bool { return b.version == v })
 }
 
+// has reports whether chunks of a version are stored. Staging a version discards the chunks
+// of the one that was staged before.
+func (s *chunkStore) has(v fulmardeal.Version) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.staged == v || s.find(v) >= 0
+}
+
 // discard discards the buffered chunks of a version.
 func (s *chunkStore) discard(v fulmardeal.Version) {
 	s.mu.Lock()
@@ -51,24 +59,45 @@
 	s.buffered = slices.DeleteFunc(s.buffered, func(b bufferedVersion) bool { return b.version == v })
 }
 
-// stage copies the buffered chunks of a version to the engine's staging area.
+// stage copies the buffered chunks of a version to the engine's staging area. After an
+// error, the next call continues with the chunks that have not been copied.
 func (s *chunkStore) stage(ctx context.Context, v fulmardeal.Version) error {
+	for {
+		index, data, is := s.nextBuffered(v)
+		if !is {
+			s.discard(v)
+			return nil
+		}
+		if err := s.engine.PutChunk(ctx, v, index, data); err != nil {
+			return err
+		}
+		s.dropBuffered(v, index)
+	}
+}
+
+// nextBuffered returns a buffered chunk of a version. From then on, further chunks of the
+// version are staged in the engine.
+func (s *chunkStore) nextBuffered(v fulmardeal.Version) (int, []byte, bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	i := s.find(v)
 	if i < 0 {
-		s.mu.Unlock()
-		return nil
+		return 0, nil, false
 	}
-	b := s.buffered[i]
 	s.staged = v
-	s.mu.Unlock()
-	for index, data := range b.chunks {
-		if err := s.engine.PutChunk(ctx, v, index, data); err != nil {
-			return err
-		}
+	for index, data := range s.buffered[i].chunks {
+		return index, data, true
+	}
+	return 0, nil, false
+}
+
+// dropBuffered discards a buffered chunk of a version, which is staged.
+func (s *chunkStore) dropBuffered(v fulmardeal.Version, index int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := s.find(v); i >= 0 {
+		delete(s.buffered[i].chunks, index)
 	}
-	s.discard(v)
-	return nil
 }
 
 // PutChunk stores a verified chunk.
@@ -91,12 +120,10 @@
 func (s *chunkStore) Chunk(ctx context.Context, v fulmardeal.Version, index int) ([]byte, error) {
 	s.mu.Lock()
 	if i := s.find(v); i >= 0 {
-		data, has := s.buffered[i].chunks[index]
-		s.mu.Unlock()
-		if !has {
-			return nil, &fulmardeal.MissingError{Service: "chunk store", Resource: v.String()}
+		if data, has := s.buffered[i].chunks[index]; has {
+			s.mu.Unlock()
+			return data, nil
 		}
-		return data, nil
 	}
 	staged := s.staged == v
 	s.mu.Unlock()
--- a/internal/process/loader/loader.go
+++ b/internal/process/loader/loader.go
@@ -72,7 +72,9 @@
 type Engine interface {
 	chunk.Store
 	State(ctx context.Context) (fulmardeal.EngineState, error)
-	StartLoad(ctx context.Context, v fulmardeal.Version, expect int64) error
+
+	// StartLoad returns a *fulmardeal.RefusedOrderError if the engine refuses the order.
+	StartLoad(ctx context.Context, o fulmardeal.LayerLoad) error
 }
 
 // Store is the part of the platform's store that an agent uses.
@@ -114,6 +116,7 @@
 	reporter  *monitor.Reporter
 	scope     tally.Scope
 	wake      chan struct{} // signals that a download has ended or the target has changed
+	uptime    func() time.Duration
 
 	mu         sync.Mutex
 	target     catalogue.Target // version that this agent's engine is to serve
@@ -134,7 +137,7 @@
 // New opens the agent's listener. The returned function releases its resources.
 func New(o Options) (*Loader, func(), error) {
 	address := net.JoinHostPort(o.Settings.IP, strconv.Itoa(o.Settings.PortRange[0]))
-	l := &Loader{options: o, log: o.Log, address: address, chunks: &chunkStore{engine: o.Engine}, wake: make(chan struct{}, 1)}
+	l := &Loader{options: o, log: o.Log, address: address, chunks: &chunkStore{engine: o.Engine}, wake: make(chan struct{}, 1), uptime: feed.Uptime}
 	l.reporter = monitor.NewReporter()
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "fulmardeal", Reporter: l.reporter, Separator: "_"}, reportInterval)
 	l.scope = scope
--- a/internal/process/loader/loader_test.go
+++ b/internal/process/loader/loader_test.go
@@ -158,10 +158,14 @@
 }
 
 // StartLoad loads the chunks that are staged at the time of the call.
-func (e *fakeEngine) StartLoad(_ context.Context, v fulmardeal.Version, expect int64) error {
+func (e *fakeEngine) StartLoad(_ context.Context, o fulmardeal.LayerLoad) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if expect != e.accepted {
+	if err := o.Permit(); err != nil {
+		return err
+	}
+	v := o.Version
+	if o.State.OrderCount != e.accepted {
 		return &fulmardeal.RefusedOrderError{Reason: "sequence"}
 	}
 	for i := range chunks {
--- a/internal/process/loader/silence_test.go
+++ b/internal/process/loader/silence_test.go
@@ -73,8 +73,8 @@
 	return s, err
 }
 
-func (e *silentEngine) StartLoad(ctx context.Context, v fulmardeal.Version, expect int64) error {
-	err := e.fakeEngine.StartLoad(ctx, v, expect)
+func (e *silentEngine) StartLoad(ctx context.Context, o fulmardeal.LayerLoad) error {
+	err := e.fakeEngine.StartLoad(ctx, o)
 	if silent := e.wait(ctx, "order"); silent != nil {
 		return silent
 	}
--- a/internal/process/loader/work.go
+++ b/internal/process/loader/work.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -12,7 +11,6 @@
 	"fulmardeal/internal/proof/invariant"
 	"fulmardeal/internal/weights/chunk"
 	"fulmardeal/internal/weights/manifest"
-	"fulmardeal/internal/weights/replica"
 )
 
 // Timeouts and intervals of downloading and loading weights.
@@ -63,6 +61,7 @@
 	done    chan downloadResult
 	swarm   *chunk.Swarm // the download's transfer; nil until it has succeeded
 	retryAt time.Time    // when to start or retry the download; zero while it runs or after it has succeeded
+	damaged bool         // chunks that had been downloaded were found missing or corrupt; the next start fetches only these
 
 	transfer atomic.Pointer[chunk.Swarm] // the transfer in progress or the last one; nil before the first
 }
@@ -94,16 +93,7 @@
 	orderedVersion  int64     // version that the engine was last ordered to load
 	orderedStart    time.Time // start of the engine that got the order; zero if unknown
 	orderedCount    int64     // number of orders that it had accepted before
-}
-
-// orderPending reports whether the last order may still take effect: it was for the
-// version, and the engine has not been restarted since.
-func (s *loadState) orderPending(version int64, e fulmardeal.EngineState) bool {
-	age := time.Since(s.orderedAt)
-	if s.orderedVersion != version || age >= orderTimeout || !e.StartedAt.Equal(s.orderedStart) {
-		return false
-	}
-	return age < orderSettleTime || e.OrderCount > s.orderedCount
+	ordered         layerRange
 }
 
 // reconcileLoop calls reconcile until the context ends, then cancels the
@@ -154,7 +144,7 @@
 	if slices.ContainsFunc(l.state.downloads, func(d *download) bool { return d.swarm == nil }) {
 		l.refreshPeers(ctx)
 	}
-	return l.activate(ctx, model, held, state)
+	return l.activate(ctx, target, held, state)
 }
 
 // announceStatus reports the engine's status to the entries if it has changed,
@@ -227,19 +217,39 @@
 // startDownload starts a download in the background.
 func (l *Loader) startDownload(ctx context.Context, d *download) {
 	ctx, cancel := context.WithCancel(ctx)
-	d.cancel, d.done, d.retryAt, d.swarm = cancel, make(chan downloadResult, 1), time.Time{}, nil
-	l.log.Info("download of weights started", "version", d.version.String())
+	repaired := d.swarm
+	if !d.damaged {
+		repaired = nil
+	}
+	d.cancel, d.done, d.retryAt, d.swarm, d.damaged = cancel, make(chan downloadResult, 1), time.Time{}, nil, false
+	l.log.Info("download of weights started", "version", d.version.String(), "repair", repaired != nil)
 	go func() {
-		s, err := l.downloadVersion(ctx, d)
+		s, err := l.downloadVersion(ctx, d, repaired)
 		d.done <- downloadResult{swarm: s, err: err}
 		l.wakeUp()
 	}()
 }
 
-// downloadVersion downloads the chunks of a version.
-func (l *Loader) downloadVersion(ctx context.Context, d *download) (*chunk.Swarm, error) {
-	start, v := time.Now(), d.version
+// downloadVersion downloads the chunks of a version, or those that a finished download has
+// lost since.
+func (l *Loader) downloadVersion(ctx context.Context, d *download, finished *chunk.Swarm) (*chunk.Swarm, error) {
 	l.refreshPeers(ctx)
+	s := finished
+	if s == nil {
+		var err error
+		if s, err = l.joinSwarm(ctx, d.version); err != nil {
+			return nil, err
+		}
+		d.transfer.Store(s)
+	}
+	start := time.Now()
+	err := l.exchange.Download(ctx, s, l.Peers)
+	l.log.Info("download of weights ended", "version", d.version.String(), "took", time.Since(start), "drawn", s.OriginBytes(), "corrupt", s.CorruptChunks(), "err", err)
+	return s, err
+}
+
+// joinSwarm gets the manifest of a version and starts to serve its chunks.
+func (l *Loader) joinSwarm(ctx context.Context, v fulmardeal.Version) (*chunk.Swarm, error) {
 	data, err := l.manifest(ctx, v)
 	if err != nil {
 		return nil, err
@@ -252,76 +262,10 @@
 	s := chunk.NewSwarm(m, l.self(), l.originRegion(), time.Now(), l.options.Seed, &invariant.Recorder{})
 	s.SetProfile(chunk.EngineProfile(l.options.Settings.LinkMbps))
 	l.exchange.AddSwarm(ctx, s)
-	d.transfer.Store(s)
-	err = l.exchange.Download(ctx, s, l.Peers)
-	l.log.Info("download of weights ended", "version", v.String(), "took", time.Since(start), "drawn", s.OriginBytes(), "corrupt", s.CorruptChunks(), "err", err)
-	return s, err
+	return s, nil
 }
 
 func (l *Loader) originRegion() string {
 	target, _ := l.currentTarget()
 	return l.options.Settings.Regions[target.Place]
 }
-
-// activate orders the engine to load the newest version that has been downloaded
-// completely, once the time of its change has come. An engine that holds no
-// version loads at once. activate reports whether it should be called again soon.
-func (l *Loader) activate(ctx context.Context, model string, held int64, state fulmardeal.EngineState) bool {
-	s := &l.state
-	var newest *download
-	for _, d := range s.downloads {
-		if d.swarm != nil && d.number > held {
-			newest = d
-		}
-	}
-	if newest == nil {
-		return false
-	}
-	if state.Loading || s.orderPending(newest.number, state) {
-		return true
-	}
-	if held != 0 && time.Now().Before(l.changeTime(model, held)) {
-		return true
-	}
-	l.reportStatus(held, true)
-	s.reportedLoading = true
-	sleep(ctx, drainLead)
-	if err := l.chunks.stage(ctx, newest.version); err != nil {
-		l.log.Warn("cannot stage chunks in the engine", "version", newest.version.String(), "err", err)
-		return true
-	}
-	if !l.exchange.VerifyStored(ctx, newest.swarm) {
-		l.log.Warn("staged chunks failed verification; downloading them again", "version", newest.version.String())
-		newest.swarm, newest.retryAt = nil, time.Now()
-		return false
-	}
-	err := l.options.Engine.StartLoad(ctx, newest.version, state.OrderCount)
-	var refused *fulmardeal.RefusedOrderError
-	switch {
-	case errors.As(err, &refused):
-		l.log.Warn("engine refused the load order", "version", newest.version.String(), "reason", refused.Reason)
-		return false
-	case err != nil:
-		l.log.Warn("no response to the load order", "version", newest.version.String(), "err", err)
-		return true
-	}
-	s.orderedAt, s.orderedVersion = time.Now(), newest.number
-	s.orderedStart, s.orderedCount = state.StartedAt, state.OrderCount
-	l.log.Info("load order sent to the engine", "version", newest.version.String(), "held", held, "running", state.Running, "waiting", state.Waiting)
-	return true
-}
-
-// changeTime returns when this engine is to change from the version that it
-// holds to a newer one. The engines change one after the other, because an engine
-// accepts no requests while it changes.
-func (l *Loader) changeTime(model string, held int64) time.Time {
-	announced, superseded := l.catalogue.View().SupersededAt(model, held)
-	if !superseded {
-		return time.Time{}
-	}
-	var names []string
-	for _, p := range l.Peers() {
-		names = append(names, p.Incarnation)
-	}
-	return replica.ChangeTime(l.self().Incarnation, names, announced, l.options.Settings.Bounds.VersionSwitch)
-}
--- a/internal/weights/chunk/exchange.go
+++ b/internal/weights/chunk/exchange.go
@@ -115,15 +115,15 @@
 	if err != nil {
 		return
 	}
-	for _, i := range list {
+	forEach(list, func(i int) {
 		if i < 0 || i >= s.Manifest().Chunks() {
-			continue
+			return
 		}
 		data, err := x.store.Chunk(ctx, v, i)
 		if err == nil && s.Manifest().Verify(i, data) == nil {
 			s.MarkHeld(i)
 		}
-	}
+	})
 }
 
 // ReuseChunks copies the stored chunks of an earlier version that also occur in s, so
@@ -231,21 +231,6 @@
 	time.AfterFunc(sendTime-time.Since(started), release)
 }
 
-// VerifyStored verifies all stored chunks again and reports whether they are intact.
-// Missing and corrupt chunks are marked as not held, so that they are fetched again.
-func (x *Exchange) VerifyStored(ctx context.Context, s *Swarm) bool {
-	v := s.Manifest().Version()
-	intact := true
-	for i := range s.Manifest().Chunks() {
-		data, err := x.store.Chunk(ctx, v, i)
-		if err != nil || s.Manifest().Verify(i, data) != nil {
-			s.MarkMissing(i)
-			intact = false
-		}
-	}
-	return intact
-}
-
 // Download fetches chunks until the swarm is complete, the context ends or the
 // manifest is suspect. In the last case it returns a SuspectManifestError. It calls
 // peers repeatedly to get the current agents of the swarm.
--- a/internal/weights/chunk/odd_request_test.go
+++ b/internal/weights/chunk/odd_request_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,13 +15,13 @@
 // oddStore holds all chunks, and lists indexes that no version has.
 type oddStore struct {
 	chunks [][]byte
-	asked  int
+	asked  atomic.Int64
 }
 
 func (s *oddStore) PutChunk(context.Context, fulmardeal.Version, int, []byte) error { return nil }
 
 func (s *oddStore) Chunk(_ context.Context, _ fulmardeal.Version, index int) ([]byte, error) {
-	s.asked++
+	s.asked.Add(1)
 	if index < 0 || index >= len(s.chunks) {
 		return nil, &fulmardeal.MissingError{Service: "store", Resource: "chunk"}
 	}
@@ -41,8 +42,8 @@
 	s := NewSwarm(m, Peer{Incarnation: "self", Region: "r"}, "", time.Now(), 1, new(invariant.Recorder))
 	s.SetPeers(time.Now(), []Peer{{Incarnation: "peer", Region: "r"}})
 	x.AddSwarm(t.Context(), s)
-	if n := s.HeldChunks().Count(); n != 2 || store.asked != 2 {
-		t.Errorf("%d chunks held and %d asked for, want 2", n, store.asked)
+	if n := s.HeldChunks().Count(); n != 2 || store.asked.Load() != 2 {
+		t.Errorf("%d chunks held and %d asked for, want 2", n, store.asked.Load())
 	}
 	for _, index := range []int{-1, -8, math.MinInt, chunks, chunks + 1, 1 << 62, math.MaxInt} {
 		for _, bitmap := range []Bitmap{nil, {}, {255}, {255, 255}, make(Bitmap, 1<<20)} {
--- a/pool.go
+++ b/pool.go
@@ -353,6 +353,21 @@
 	IdleTimeout    time.Duration // how long the connection to the endpoint may stay idle; 0 if not given
 }
 
+// LayerLoad is an order to an engine to hold layers of a version. It loads those that it
+// lacks from its staged chunks, after the requests in progress have finished.
+type LayerLoad struct {
+	Version Version
+	Layers  int // the engine is to hold the first so many layers; 0 for all of them
+
+	// State is the state of the engine when its chunks were verified. An engine that has
+	// accepted an order or has been restarted since then refuses the order.
+	State EngineState
+
+	// Permit is called right before the order is sent. If it returns an error, the order
+	// is not sent.
+	Permit func() error
+}
+
 // EngineState is the state that an engine reports.
 type EngineState struct {
 	Spans      []Span
