process/gateway: count crashes that end responses without a length

All other streams on these endpoints were lost with each crash.

Cause: the kernel ends the connections of a killed process in order, and readStream returned at that end without the check whether the process is gone. The log has "stream ended within an event" for each crash and no check. Ruled out: the evidence and its reports, since the same load with chunked responses led to a verdict.

Such an end is now a failure like a broken connection, and a response without a length that ends after its first event is checked as well.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -184,8 +184,10 @@
 			return failed
 		case errors.Is(err, io.EOF):
 			if !scanner.complete() {
-				log.Warn("stream ended within an event or before the first", "begun", started, "resumed", a.resumed)
-				return failed
+				return a.failure(ctx, errIncompleteStream, lastHeard, started)
+			}
+			if x.EndsWithConnection() && !a.answering() && a.crashed(ctx) {
+				return a.failure(ctx, errEndpointGone, lastHeard, started)
 			}
 			a.permit.Begun(time.Now())
 			x.Release(r.IdleTimeout)
@@ -222,6 +224,18 @@
 	return u
 }
 
+// Causes of a failure that show only when the connection has ended in order.
+var (
+	errIncompleteStream = errors.New("stream ended within an event or before the first")
+	errEndpointGone     = errors.New("response without a length ended with the endpoint's process")
+)
+
+// crashed reports whether the endpoint's process is gone.
+func (a *attempt) crashed(ctx context.Context) bool {
+	g := a.call.gateway
+	return ctx.Err() == nil && g.crashes.crashed(ctx, g.pool, a.call.log, a.reservation)
+}
+
 // failure returns the update for a failure to send the request to the endpoint or to
 // receive its complete response. lastHeard is when the endpoint last sent something that
 // the caller gets, or when the attempt began; started tells whether it has sent an event.
@@ -239,7 +253,7 @@
 		c.log.Info("request withheld from the endpoint", "endpoint", e.ID(), "weights", a.reservation.Weights(), "err", withheld.Cause)
 		return update{result: notRun, outcome: dispatch.OutcomeCancelled, withheld: true}
 	}
-	crashed := !isUnsent && !a.answering() && ctx.Err() == nil && c.gateway.crashes.crashed(ctx, c.gateway.pool, c.log, a.reservation)
+	crashed := !isUnsent && !a.answering() && a.crashed(ctx)
 	point := "answer"
 	if started || a.resumed {
 		point = "event"
--- a/internal/process/gateway/crash_test.go
+++ b/internal/process/gateway/crash_test.go
@@ -119,8 +119,13 @@
 	w.Header().Set("X-Fulmardeal-Attempt-Id", attempt)
 	w.Header().Set("X-Fulmardeal-Response-Stamp", "by-"+id)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if e.load.unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	_ = http.NewResponseController(w).Flush()
 	if poisoned {
+		_, _ = io.WriteString(w, e.load.crashAfter)
+		_ = http.NewResponseController(w).Flush()
 		time.Sleep(crashAfterHeader)
 		e.crash(id)
 		return
@@ -140,6 +145,10 @@
 	parts  []string // poisoned parts
 	apart  bool     // the poisoned part is the only one that requests share
 	again  bool     // the same few requests come again
+
+	unframed   bool   // responses have neither a length nor chunks
+	crashAfter string // what an endpoint writes after the header before it crashes
+
 	begin  time.Time
 	closed chan struct{}
 	resets atomic.Bool // endpoints close connections before they begin to answer
@@ -412,6 +421,28 @@
 	})
 }
 
+// crashPoints are the values of the column of testdata/unframed.txt that says after what an
+// endpoint crashes.
+var crashPoints = map[string]string{"head": "", "half": "id: 1\nda", "event": "id: 1\ndata: e1\n\n"}
+
+// A crash must count also if the response that it ends has neither a length nor chunks, so
+// that its connection ends as if the response were complete.
+func TestCrashEndsResponseWithoutLength(t *testing.T) {
+	script.Run(t, "testdata/unframed.txt", func(f []string) error {
+		entries, err := strconv.Atoi(f[0])
+		if err != nil {
+			return err
+		}
+		t.Run(strings.Join(f, " "), func(t *testing.T) {
+			t.Parallel()
+			l := &crashLoad{t: t, store: newMemStore(), parts: []string{"dead"}, unframed: true, crashAfter: crashPoints[f[1]], closed: make(chan struct{})}
+			l.run(entries, f[2])
+			l.check()
+		})
+		return nil
+	})
+}
+
 // A quarantine that the store doesn't take must be stored later, without a burst of calls.
 func TestQuarantineStoredAfterOutage(t *testing.T) {
 	store := newMemStore()
@@ -454,7 +485,7 @@
 		}
 		t.Run(strings.Join(f, " "), func(t *testing.T) {
 			t.Parallel()
-			l := &crashLoad{t: t, store: newMemStore(), closed: make(chan struct{})}
+			l := &crashLoad{t: t, store: newMemStore(), unframed: f[2] == "unframed", closed: make(chan struct{})}
 			l.prepare(entries)
 			var calls sync.WaitGroup
 			calls.Go(func() { l.repeat(soundInterval, &calls, l.sendSound) })
