fleet/feed: ignore registrations that the store writes late

The store had done a heartbeat, whose response was lost, 2.5 s after the removal.

Cause: only full reads were compared with the registrations that had been removed or replaced; a change was applied as it came. Ruled out: entries that had missed the removal (all three had logged it) and requests chosen before it (they were sent up to 3 s after it).

All reads now leave out registrations that an endpoint wrote before the last one known of it. A start whose clock was set back is known by its second registration.

--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -32,6 +32,7 @@
 	Next          fulmardeal.Position // position at which the next read starts
 	Full          bool                // the batch lists every key; keys that it doesn't list have been deleted
 	Restored      bool                // the batch is the first one of an era: the store may lack what was already read
+	Late          []string            // keys of registrations that were left out because later ones had been read
 	SinceLastRead time.Duration       // time since the previous successful read
 
 	// MaxAge is an upper bound on the time since the changes were written, not counting
--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -109,6 +109,7 @@
 	first   fulmardeal.Position     // offset from which recent is complete
 	next    fulmardeal.Position     // offset after that of the last change
 	removed map[string]removal      // the last change of each key that was deleted recently, by key
+	others  map[string]otherStart   // starts of endpoints that are not the known ones, by key
 	held    bool                    // current contains state that a restored store lacks
 	changed chan struct{}           // closed and replaced when changes are added, which wakes the readers that wait
 }
@@ -121,7 +122,7 @@
 	if r.feeds == nil {
 		r.feeds = make(map[string]*cachedFeed)
 	}
-	r.feeds[name] = &cachedFeed{age: age, current: make(map[string]cachedChange), removed: make(map[string]removal), changed: make(chan struct{})}
+	r.feeds[name] = &cachedFeed{age: age, current: make(map[string]cachedChange), removed: make(map[string]removal), others: make(map[string]otherStart), changed: make(chan struct{})}
 }
 
 // Put applies a batch that was read from the store to the copy of a feed. It returns
@@ -132,14 +133,22 @@
 	defer r.mu.Unlock()
 	f := r.feeds[name]
 	now, writtenAfter := time.Now(), Uptime()-b.MaxAge
+	f.expireRemovals(now)
 	if b.Full {
 		b.Changes, f.held = f.reconcile(now, b)
-	}
-	f.recordRemovals(now, b)
-	if b.Full {
+		f.recordRemovals(now, b)
 		f.current, f.recent, f.first = make(map[string]cachedChange), nil, b.Next
 	}
+	var applied []fulmardeal.Change
 	for _, c := range b.Changes {
+		if !b.Full {
+			if f.isLate(now, c) {
+				b.Late = append(b.Late, c.Key)
+				continue
+			}
+			f.recordRemovals(now, Batch{Changes: []fulmardeal.Change{c}})
+		}
+		applied = append(applied, c)
 		w := cachedChange{WireChange: toWire(c), writtenAfter: writtenAfter}
 		switch known, is := f.current[c.Key]; {
 		case c.Gone, c.Fault != nil && !(is && outlivesFault(known.Change)):
@@ -155,7 +164,7 @@
 		f.first = f.recent[over-1].Change.Offset + 1
 		f.recent = append([]cachedChange(nil), f.recent[over:]...)
 	}
-	f.next = b.Next
+	b.Changes, f.next = applied, b.Next
 	if len(b.Changes) > 0 || b.Full {
 		close(f.changed)
 		f.changed = make(chan struct{})
--- a/internal/fleet/feed/restore.go
+++ b/internal/fleet/feed/restore.go
@@ -35,6 +35,12 @@
 			continue
 		}
 		known, is := f.current[c.Key]
+		if !b.Restored && f.isLate(now, c) {
+			if is {
+				changes = append(changes, known.Change)
+			}
+			continue
+		}
 		switch {
 		case is && c.Fault != nil && outlivesFault(known.Change):
 			c = known.Change
@@ -61,11 +67,6 @@
 
 // recordRemovals remembers the last change of each key that a batch deletes.
 func (f *cachedFeed) recordRemovals(now time.Time, b Batch) {
-	for key, r := range f.removed {
-		if now.Sub(r.removedAt) >= removalRetention {
-			delete(f.removed, key)
-		}
-	}
 	kept := make(map[string]bool, len(b.Changes))
 	for _, c := range b.Changes {
 		kept[c.Key] = !c.Gone
--- a/internal/fleet/feed/restore_test.go
+++ b/internal/fleet/feed/restore_test.go
@@ -26,6 +26,16 @@
 	})
 }
 
+// TestLateRegistration runs testdata/late.txt: a registration that the store writes late must
+// not bring an endpoint back that has left.
+func TestLateRegistration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s restoreScript
+		s.reset()
+		script.Run(t, "testdata/late.txt", s.step)
+	})
+}
+
 // restoreScript is the state of a script of restorations.
 type restoreScript struct {
 	relay *Relay
@@ -59,6 +69,10 @@
 			b.Changes, b.Next = append(b.Changes, c), max(b.Next, c.Offset+1)
 		}
 		s.relay.Put("feed", b)
+	case "removed?": // number of removals that are remembered
+		if got := strconv.Itoa(len(s.relay.feeds["feed"].removed)); got != words[1] {
+			return fmt.Errorf("got %s", got)
+		}
 	case "state?":
 		var resp ReadResponse
 		if _, err := s.relay.read(ReadRequest{Feed: "feed", Whole: true}, &resp); err != nil {
--- a/internal/process/gateway/crash_test.go
+++ b/internal/process/gateway/crash_test.go
@@ -140,11 +140,11 @@
 
 // crashLoad is the load of one case of testdata/crashes.txt.
 type crashLoad struct {
-	t      *testing.T
-	store  *memStore
-	parts  []string // poisoned parts
-	apart  bool     // the poisoned part is the only one that requests share
-	again  bool     // the same few requests come again
+	t     *testing.T
+	store *memStore
+	parts []string // poisoned parts
+	apart bool     // the poisoned part is the only one that requests share
+	again bool     // the same few requests come again
 
 	unframed   bool   // responses have neither a length nor chunks
 	crashAfter string // what an endpoint writes after the header before it crashes
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -333,6 +334,9 @@
 	now := time.Now()
 	before := g.roster.Version()
 	b = g.withoutOwn(b)
+	if len(b.Late) > 0 {
+		g.log.Warn("registrations written late are ignored", "endpoints", strings.Join(b.Late, ","))
+	}
 	g.roster.Apply(now, b)
 	if g.roster.Version() != before {
 		g.log.Info("endpoints changed", "endpoints", len(g.roster.List()), "silence", b.SinceLastRead)
