cli/command: keep signals caught until the process exits

A process that had shut down in order could still end with "signal: hangup" or "signal: terminated": the clean-up function of watchSignals restored the default effect before the process returned from main.

The signals now stay caught; the clean-up ends only the context and the logging. The entry and agent of our own interface had the same fault with a second SIGTERM.

TestSignalsWhileExiting sends signals to real processes until they are gone; before, it fails with "signal: hangup; want exit status 1". TestSignalsWhileShuttingDown sends its signals after the clean-up as well, and ends with "signal: hangup" before.

--- a/internal/cli/command/native.go
+++ b/internal/cli/command/native.go
@@ -112,21 +112,44 @@
 	return agent.Run, func() { cleanup(); closeEngine(); closeStore() }, nil
 }
 
+// catchSignals returns a context that ends at the first of the signals, and a function that
+// ends it. The signals stay caught until the process exits: one that arrives while the process
+// returns from main must not change its exit status.
+func catchSignals(signals ...os.Signal) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	caught := make(chan os.Signal, 1)
+	signal.Notify(caught, signals...)
+	go func() {
+		select {
+		case <-caught:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // watchSignals returns a context that ends at SIGTERM or SIGINT; further ones have no
 // effect. SIGHUP is only logged. Unless it is watched, SIGHUP ends the process, so that
-// commands call watchSignals before anything that may take time.
+// commands call watchSignals before anything that may take time. The returned function ends
+// the context and the logging; the signals stay caught.
 func watchSignals(log *slog.Logger) (context.Context, func()) {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, cancel := catchSignals(syscall.SIGINT, syscall.SIGTERM)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
+	stopped := make(chan struct{})
 	go func() {
-		for range reloads {
-			log.Info("SIGHUP ignored", "change", "none: settings are read only when the process starts")
+		for {
+			select {
+			case <-reloads:
+				log.Info("SIGHUP ignored", "change", "none: settings are read only when the process starts")
+			case <-stopped:
+				return
+			}
 		}
 	}()
 	return ctx, func() {
-		signal.Stop(reloads)
-		close(reloads)
-		stop()
+		close(stopped)
+		cancel()
 	}
 }
--- a/internal/cli/command/role.go
+++ b/internal/cli/command/role.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"os"
-	"os/signal"
 	"syscall"
 	"time"
 
@@ -38,7 +37,7 @@
 		return err
 	}
 	defer closeMonitor()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := catchSignals(os.Interrupt, syscall.SIGTERM)
 	defer stop()
 
 	monitorCtx, stopMonitor := context.WithCancel(context.Background())
