process/gateway, traffic/forward: bound what is buffered of all requests together

Operators of other systems: an endpoint sent bytes that were no answer, without end, and the entry that had called it kept them until its memory was full.

Events and heads above 8 KB now count in the budget of response bodies; a stream for which there is no room fails like one with a too large event. Callers' bodies above 16 KB share 0.3 of the memory limit; one for which there is no room is refused at once with 503 and Retry-After, and one that is incomplete at its deadline with 408 and the end of its connection.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -164,6 +164,8 @@
 	}
 	scanner := eventScanner{order: a.order, joins: a.resumed, isField: c.gateway.codec.EventField}
 	buf := make([]byte, readSize)
+	share := c.gateway.pool.Buffer().Share(freeEventBytes)
+	defer share.Close()
 	lastHeard, started := time.Now(), false
 	for {
 		n, err := x.Read(buf, noDeadline)
@@ -194,8 +196,8 @@
 			return update{result: finished, outcome: dispatch.OutcomeServed, weights: r.WeightsVersion}
 		case err != nil:
 			return a.failure(ctx, err, lastHeard, started)
-		case scanner.buffered() > maxEventBytes:
-			log.Warn("stream event exceeds the size limit", "bytes", scanner.buffered())
+		case scanner.buffered() > maxEventBytes || !share.Resize(scanner.buffered()):
+			log.Warn("stream event exceeds the size limit, or all that is buffered does", "bytes", scanner.buffered(), "buffered", c.gateway.pool.Buffer().Used())
 			return failed
 		}
 	}
--- a/internal/process/gateway/body.go
+++ b/internal/process/gateway/body.go
@@ -1,11 +1,79 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
+
+	"fulmardeal"
 )
 
+// Limits on the bodies of requests that are buffered together. They stay in memory until
+// their requests have been answered.
+const (
+	bodiesFraction     = 0.3       // maximum size of all, as a fraction of the memory limit
+	defaultBodiesBytes = 256 << 20 // the same without a memory limit
+	freeBodyBytes      = 16 << 10  // a body up to this size doesn't count
+
+	retryAfterBodies = 500 * time.Millisecond // Retry-After of a request for whose body there is no room
+)
+
+func maxBodiesBytes(memoryLimit int64) int64 {
+	if memoryLimit <= 0 {
+		return defaultBodiesBytes
+	}
+	return int64(bodiesFraction * float64(memoryLimit))
+}
+
+// readBody reads the body, up to the configured limit. It refuses the request if the body
+// isn't complete by its deadline, or if there is no room for it beside the bodies of others.
+func (c *call) readBody(r *http.Request, l fulmardeal.Limits) bool {
+	maxBytes := l.Body
+	if maxBytes <= 0 {
+		maxBytes = defaultMaxBodyBytes
+	}
+	if r.ContentLength > int64(maxBytes) {
+		c.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
+		return false
+	}
+	if c.caller != nil {
+		stop := c.caller.stopReading(c.received.Add(c.timeLimit()))
+		defer stop()
+	}
+	var body []byte
+	limited := io.LimitReader(r.Body, int64(maxBytes)+1)
+	for {
+		if len(body) == cap(body) {
+			body = append(body, 0)[:len(body)]
+		}
+		if !c.body.Resize(cap(body)) {
+			c.log.Warn("no room for the body of a request", "bytes", len(body), "length", r.ContentLength, "buffered", c.gateway.bodies.Used())
+			c.refuse(http.StatusServiceUnavailable, "no room for the body", retryAfterBodies)
+			return false
+		}
+		n, err := limited.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > maxBytes:
+			c.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
+			return false
+		case errors.Is(err, io.EOF):
+			c.request.Body = body
+			return true
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			c.writer.Header().Set("Connection", "close")
+			c.refuse(http.StatusRequestTimeout, "body incomplete at the deadline", 0)
+			return false
+		case err != nil:
+			c.writer.Header().Set("Connection", "close")
+			c.refuse(http.StatusBadRequest, "body ends early", 0)
+			return false
+		}
+	}
+}
+
 // Limits on reading the rest of a body whose request has been refused.
 const (
 	maxDiscardedBytes = 16 << 20
--- a/internal/process/gateway/event.go
+++ b/internal/process/gateway/event.go
@@ -107,8 +107,8 @@
 // complete reports whether the body may end here: after an event, and not before the first.
 func (s *eventScanner) complete() bool { return s.filled && len(s.pending) == 0 }
 
-// buffered returns the size of the incomplete event.
-func (s *eventScanner) buffered() int { return len(s.pending) }
+// buffered returns the size of the buffer for the incomplete event.
+func (s *eventScanner) buffered() int { return cap(s.pending) }
 
 // line checks a line without its line feed, and reports whether it ends an event.
 func (s *eventScanner) line(line []byte) (ended bool, err error) {
--- a/internal/process/gateway/export_test.go
+++ b/internal/process/gateway/export_test.go
@@ -6,3 +6,8 @@
 func (g *Gateway) WrapCallerListener(wrap func(net.Listener) net.Listener) {
 	g.callerListener = wrap(g.callerListener)
 }
+
+// Buffered returns how many bytes of responses and of callers' bodies are buffered.
+func (g *Gateway) Buffered() (responses, bodies int64) {
+	return g.pool.Buffer().Used(), g.bodies.Used()
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -136,6 +136,7 @@
 	table          *dispatch.Table
 	refreshing     sync.Mutex // held while the table is refreshed
 	pool           *forward.Pool
+	bodies         *forward.Budget // of the bodies of callers' requests
 	mesh           *sharing.Mesh
 	pulse          feed.Pulse
 	operator       *feed.Follower
@@ -188,7 +189,7 @@
 	})
 	g.quarantine = quarantine.New(quarantine.Options{Entry: o.Settings.Name, Seed: o.Seed})
 	pool, closePool := forward.NewPool(maxBufferedBytes(o.Settings.MemoryLimit))
-	g.pool = pool
+	g.pool, g.bodies = pool, forward.NewBudget(maxBodiesBytes(o.Settings.MemoryLimit))
 	cleanups = append(cleanups, closePool)
 	address := net.JoinHostPort(o.Settings.IP, itoa(o.Settings.PortRange[0]))
 	mesh, closeMesh, err := sharing.NewMesh(sharing.Options{
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -143,17 +145,19 @@
 
 // testGateway is a gateway under test with its store and endpoints.
 type testGateway struct {
-	t        *testing.T
-	store    *memStore
-	address  string
-	stop     context.CancelFunc
-	kill     func() // ends the gateway at once, without a graceful shutdown
-	done     chan error
-	received sync.Map // number of requests received by endpoints, by attempt id
-	bounds   fulmardeal.Bounds
-	codec    gateway.Codec
-	log      slog.Handler
-	listener func(net.Listener) net.Listener // wraps the listener for callers, if set
+	gateway     *gateway.Gateway
+	memoryLimit int64 // of the gateway's settings
+	t           *testing.T
+	store       *memStore
+	address     string
+	stop        context.CancelFunc
+	kill        func() // ends the gateway at once, without a graceful shutdown
+	done        chan error
+	received    sync.Map // number of requests received by endpoints, by attempt id
+	bounds      fulmardeal.Bounds
+	codec       gateway.Codec
+	log         slog.Handler
+	listener    func(net.Listener) net.Listener // wraps the listener for callers, if set
 }
 
 // endpoint starts an endpoint of a service, registers it and returns its address. The
@@ -245,12 +249,13 @@
 	settings := fulmardeal.Settings{
 		Name: name, IP: newHost(), DataCentre: "a", Region: "south", Regions: map[string]string{"a": "south", "b": "north"},
 		CallerAddress: w.address, ReadinessAddress: "127.0.0.1:0", PortRange: [2]int{7700, 7715},
-		Bounds: w.bounds,
+		Bounds: w.bounds, MemoryLimit: w.memoryLimit,
 	}
 	g, cleanup, err := gateway.New(gateway.Options{Settings: settings, Store: w.store, Codec: w.codec, Log: slog.New(w.log), Seed: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
+	w.gateway = g
 	if w.listener != nil {
 		g.WrapCallerListener(w.listener)
 	}
@@ -264,6 +269,9 @@
 	t.Cleanup(w.kill)
 	for range 1000 {
 		if w.store.applied("operator") && w.store.applied("registrations") && w.call("GET", "/none/", nil).status == http.StatusNotFound {
+			if w.memoryLimit > 0 {
+				debug.SetMemoryLimit(math.MaxInt64) // the gateway's limit is for a process of its own
+			}
 			return w
 		}
 		time.Sleep(10 * time.Millisecond)
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -58,10 +58,11 @@
 	progress    streamProgress    // progress of a streamed response
 	trail       forward.Trail     // connections that have carried the request: all its tries have the same id
 
-	attempts     []*attempt  // attempts in progress, in the order in which they began
-	updates      chan update // what the attempts receive
-	silenceTimer *time.Timer // fires when no attempt has received anything for too long
-	weightsTimer *time.Timer // fires when the weights of endpoints that have not begun are to be checked
+	body         forward.Share // of the request's body in the budget of all
+	attempts     []*attempt    // attempts in progress, in the order in which they began
+	updates      chan update   // what the attempts receive
+	silenceTimer *time.Timer   // fires when no attempt has received anything for too long
+	weightsTimer *time.Timer   // fires when the weights of endpoints that have not begun are to be checked
 }
 
 // ServeHTTP handles one request of a caller.
@@ -74,6 +75,8 @@
 	c.log = g.log.With("id", c.metadata.AttemptID)
 	defer c.logPanic()
 	defer c.logEarly()
+	c.body = g.bodies.Share(freeBodyBytes)
+	defer c.body.Close()
 	if !c.admit(r) {
 		discardBody(w, r)
 		return
@@ -161,41 +164,10 @@
 	return true
 }
 
-// readBody reads the body, up to the configured limit.
-func (c *call) readBody(r *http.Request, l fulmardeal.Limits) bool {
-	maxBytes := l.Body
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
-	if r.ContentLength > int64(maxBytes) {
-		c.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
-		return false
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(maxBytes)+1))
-	if err != nil {
-		c.writer.Header().Set("Connection", "close")
-		c.refuse(http.StatusBadRequest, "body ends early", 0)
-		return false
-	}
-	if len(body) > maxBytes {
-		c.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
-		return false
-	}
-	c.request.Body = body
-	return true
-}
-
 // setDeadlineAndFingerprint computes the deadline of the response and the
 // fingerprint of the request.
 func (c *call) setDeadlineAndFingerprint() {
-	limit := defaultTimeout
-	if c.route.Timeout > 0 {
-		limit = c.route.Timeout
-	}
-	if d := c.metadata.Deadline; d > 0 {
-		limit = min(limit, d)
-	}
-	c.deadline = c.received.Add(limit)
+	c.deadline = c.received.Add(c.timeLimit())
 	var h xxhash.Digest
 	for _, part := range []string{c.request.Method, c.request.Host, c.request.Target, c.metadata.APIKey, c.metadata.PromptPrefix} {
 		_, _ = h.WriteString(part) // a Digest never returns an error
@@ -205,6 +177,18 @@
 	c.fingerprint = h.Sum64()
 }
 
+// timeLimit returns the time within which the request is to be answered.
+func (c *call) timeLimit() time.Duration {
+	limit := defaultTimeout
+	if c.route.Timeout > 0 {
+		limit = c.route.Timeout
+	}
+	if d := c.metadata.Deadline; d > 0 {
+		limit = min(limit, d)
+	}
+	return limit
+}
+
 // pickService picks one of a route's services, each with a probability
 // proportional to its weight. The choice depends only on a hash of the caller's
 // attempt id, so that all entries pick the same service for the same id.
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -164,6 +164,13 @@
 	return c.TCPConn.SetReadDeadline(now.Add(c.limits.idle))
 }
 
+// stopReading fails reads from the given time on, unless the function that it returns is
+// called before.
+func (c *callerConn) stopReading(at time.Time) func() bool {
+	// A failure means that the connection has been closed.
+	return time.AfterFunc(time.Until(at), func() { _ = c.TCPConn.SetReadDeadline(time.Now()) }).Stop
+}
+
 // extendLimits extends the connection's limits. Shorter ones apply only to connections
 // that are opened later: a caller may use this one as the earlier ones allowed.
 func (c *callerConn) extendLimits(limits timeLimits) {
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -43,9 +43,11 @@
 // readSize is the size of the read buffer of a stream.
 const readSize = 4 << 10 // bytes
 
-// maxEventBytes is the maximum size of one event of a stream. Each stream may buffer
-// as much, and the smallest entries serve some hundred streams.
-const maxEventBytes = 128 << 10 // bytes
+// Limits on the size of one event of a stream.
+const (
+	maxEventBytes  = 128 << 10
+	freeEventBytes = 8 << 10 // up to this size, an event doesn't count as buffered
+)
 
 // writeEvents writes complete events to the caller, preceded by the header if it
 // hasn't been sent yet, and reports whether the caller is still connected.
--- /dev/null
+++ b/internal/traffic/forward/budget.go
@@ -0,0 +1,60 @@
+package forward
+
+import "sync/atomic"
+
+// Budget bounds the bytes that are buffered for many requests together. The zero value has no
+// room. It is safe for concurrent use.
+type Budget struct {
+	max  int64
+	used atomic.Int64
+}
+
+// NewBudget returns a budget of so many bytes.
+func NewBudget(bytes int64) *Budget { return &Budget{max: bytes} }
+
+// Reserve accounts for bytes that are to be buffered, and reports whether they fit.
+func (b *Budget) Reserve(bytes int) bool {
+	if b.used.Add(int64(bytes)) <= b.max {
+		return true
+	}
+	b.used.Add(-int64(bytes))
+	return false
+}
+
+// Release returns bytes that were reserved.
+func (b *Budget) Release(bytes int) { b.used.Add(-int64(bytes)) }
+
+// Used returns the number of bytes that are reserved.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
+// Share is what one buffer has reserved of a budget. A small buffer needs no reservation.
+type Share struct {
+	budget   *Budget
+	free     int // bytes that need no reservation
+	reserved int
+}
+
+// Share returns a share for a buffer, of which the given number of bytes is free.
+func (b *Budget) Share(free int) Share { return Share{budget: b, free: free} }
+
+// Resize changes the reservation to that of a buffer of the given size, and reports whether
+// it fits. If not, the reservation stays as it was.
+func (s *Share) Resize(bytes int) bool {
+	more := max(0, bytes-s.free) - s.reserved
+	if more > 0 && !s.budget.Reserve(more) {
+		return false
+	}
+	if more < 0 {
+		s.budget.Release(-more)
+	}
+	s.reserved += more
+	return true
+}
+
+// Close returns what is reserved.
+func (s *Share) Close() {
+	if s.reserved > 0 {
+		s.budget.Release(s.reserved)
+		s.reserved = 0
+	}
+}
--- a/internal/traffic/forward/endless_test.go
+++ b/internal/traffic/forward/endless_test.go
@@ -65,7 +65,7 @@
 			if n := <-written; n > endlessLimit {
 				t.Errorf("endpoint could write %d bytes, want at most %d", n, endlessLimit)
 			}
-			if n := p.buffered.Load(); n != 0 {
+			if n := p.buffered.Used(); n != 0 {
 				t.Errorf("%d bytes still count as buffered", n)
 			}
 		})
@@ -93,7 +93,7 @@
 			case <-stop:
 				return
 			default:
-				most.Store(max(most.Load(), p.buffered.Load()))
+				most.Store(max(most.Load(), p.buffered.Used()))
 			}
 		}
 	}()
@@ -129,7 +129,7 @@
 		t.Errorf("got %q, %v", body, err)
 	}
 	p.Free(body)
-	if n := p.buffered.Load(); n != 0 {
+	if n := p.buffered.Used(); n != 0 {
 		t.Errorf("%d bytes still count as buffered", n)
 	}
 }
--- a/internal/traffic/forward/exchange.go
+++ b/internal/traffic/forward/exchange.go
@@ -218,8 +218,8 @@
 }
 
 // errBufferFull is the cause of a LostError if a response body exceeds its limit, or
-// if all bodies together exceed the pool's.
-var errBufferFull = errors.New("body of the response exceeds the buffer")
+// if what is buffered of all responses exceeds the pool's.
+var errBufferFull = errors.New("response exceeds the buffer")
 
 // ReadAll reads the whole response body. It fails if the body exceeds maxBytes, if
 // the pool has no room for it, or if it isn't complete by the given time, unless that
@@ -228,7 +228,7 @@
 	var out []byte
 	reserved := 0
 	fail := func(err error) ([]byte, error) {
-		x.pool.buffered.Add(-int64(reserved))
+		x.pool.buffered.Release(reserved)
 		return nil, err
 	}
 	full := &LostError{Address: x.address, Cause: errBufferFull}
@@ -236,7 +236,7 @@
 	for {
 		n, err := x.Read(buf, by)
 		out = append(out, buf[:n]...)
-		if !x.pool.reserve(cap(out) - reserved) {
+		if !x.pool.buffered.Reserve(cap(out) - reserved) {
 			return fail(full)
 		}
 		reserved = cap(out)
@@ -266,6 +266,7 @@
 	}
 	c := x.conn
 	x.conn = nil
+	c.limiter.share.Close()
 	if !x.stopAfterFunc() {
 		c.reset()
 		return
--- a/internal/traffic/forward/pool.go
+++ b/internal/traffic/forward/pool.go
@@ -14,7 +14,6 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"fulmardeal"
@@ -42,6 +41,9 @@
 	// maxHeadBytes is the maximum size of the status line and header of a response,
 	// including all informational responses before it.
 	maxHeadBytes = 64 << 10
+
+	// freeHeadBytes is the size up to which a head doesn't count as buffered.
+	freeHeadBytes = 8 << 10
 )
 
 // errHeadTooLong is the cause of a LostError if a response's head has more than
@@ -53,7 +55,8 @@
 type headLimiter struct {
 	net.Conn
 	inHead bool
-	left   int // bytes that may still be read while inHead is set
+	left   int   // bytes that may still be read while inHead is set
+	share  Share // of the head in the budget of buffered bytes
 }
 
 func (l *headLimiter) Read(p []byte) (int, error) {
@@ -65,6 +68,9 @@
 	}
 	n, err := l.Conn.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	if !l.share.Resize(maxHeadBytes - l.left) {
+		return n, errBufferFull
+	}
 	return n, err
 }
 
@@ -88,14 +94,13 @@
 	dialed int64
 	reused int64
 
-	maxBuffered int64        // maximum of buffered
-	buffered    atomic.Int64 // bytes of response bodies that ReadAll has returned and Free has not released yet
+	buffered *Budget // of response bodies that ReadAll has returned and Free has not released yet, of long heads and of long events
 }
 
-// NewPool returns an empty pool and a function that closes its idle connections. The
-// bodies that ReadAll holds together have at most maxBuffered bytes.
+// NewPool returns an empty pool and a function that closes its idle connections. What is
+// buffered of all responses together has at most maxBuffered bytes.
 func NewPool(maxBuffered int64) (*Pool, func()) {
-	p := &Pool{dialer: net.Dialer{Timeout: dialTimeout}, idle: make(map[string][]*conn), maxBuffered: maxBuffered}
+	p := &Pool{dialer: net.Dialer{Timeout: dialTimeout}, idle: make(map[string][]*conn), buffered: NewBudget(maxBuffered)}
 	return p, p.close
 }
 
@@ -110,17 +115,11 @@
 	}
 }
 
-// reserve accounts for bytes that are to be buffered, and reports whether they fit.
-func (p *Pool) reserve(bytes int) bool {
-	if p.buffered.Add(int64(bytes)) <= p.maxBuffered {
-		return true
-	}
-	p.buffered.Add(-int64(bytes))
-	return false
-}
+// Buffer returns the budget of what is buffered of responses.
+func (p *Pool) Buffer() *Budget { return p.buffered }
 
 // Free releases a body that ReadAll has returned.
-func (p *Pool) Free(body []byte) { p.buffered.Add(-int64(cap(body))) }
+func (p *Pool) Free(body []byte) { p.buffered.Release(cap(body)) }
 
 // Counts returns the number of connections dialed and the number of times that
 // an idle connection was taken for reuse.
@@ -153,7 +152,7 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	l := &headLimiter{Conn: n}
+	l := &headLimiter{Conn: n, share: p.buffered.Share(freeHeadBytes)}
 	c := &conn{Conn: n, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
 	trail.add(c)
 	return c, nil
