process/gateway: break off responses that end with their endpoint's process

Plain responses got a length as if they were whole.

Cause: the end of the connection is the framing of such a response, and a killed process ends its connections in order.

The entry now checks whether the process is gone when such a response ends, with a check that began after the end, and takes the response for broken off if it is.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -188,7 +188,7 @@
 			if !scanner.complete() {
 				return a.failure(ctx, errIncompleteStream, lastHeard, started)
 			}
-			if x.EndsWithConnection() && !a.answering() && a.crashed(ctx) {
+			if x.EndsWithConnection() && a.crashed(ctx, time.Now()) {
 				return a.failure(ctx, errEndpointGone, lastHeard, started)
 			}
 			a.permit.Begun(time.Now())
@@ -212,6 +212,10 @@
 	if err != nil {
 		return a.failure(ctx, err, sent, false)
 	}
+	if x.EndsWithConnection() && a.crashed(ctx, time.Now()) {
+		c.gateway.pool.Free(body)
+		return a.failure(ctx, errEndpointGone, sent, false)
+	}
 	a.reservation.RecordEvent()
 	a.permit.Begun(time.Now())
 	x.Release(r.IdleTimeout)
@@ -232,10 +236,11 @@
 	errEndpointGone     = errors.New("response without a length ended with the endpoint's process")
 )
 
-// crashed reports whether the endpoint's process is gone.
-func (a *attempt) crashed(ctx context.Context) bool {
+// crashed reports whether the endpoint's process is gone, by a check that began at the given
+// time or later.
+func (a *attempt) crashed(ctx context.Context, since time.Time) bool {
 	g := a.call.gateway
-	return ctx.Err() == nil && g.crashes.crashed(ctx, g.pool, a.call.log, a.reservation)
+	return ctx.Err() == nil && g.crashes.crashed(ctx, g.pool, a.call.log, a.reservation, since)
 }
 
 // failure returns the update for a failure to send the request to the endpoint or to
@@ -255,7 +260,7 @@
 		c.log.Info("request withheld from the endpoint", "endpoint", e.ID(), "weights", a.reservation.Weights(), "err", withheld.Cause)
 		return update{result: notRun, outcome: dispatch.OutcomeCancelled, withheld: true}
 	}
-	crashed := !isUnsent && !a.answering() && a.crashed(ctx)
+	crashed := !isUnsent && !a.answering() && a.crashed(ctx, time.Now().Add(-crashCheckTTL))
 	point := "answer"
 	if started || a.resumed {
 		point = "event"
--- a/internal/process/gateway/crash.go
+++ b/internal/process/gateway/crash.go
@@ -30,9 +30,11 @@
 // crashed reports whether the process of an endpoint that broke off a response is gone. A
 // connection that was reset, a cut, an instance without power and an endpoint that
 // announced its end don't count.
-func (s *crashChecks) crashed(ctx context.Context, pool *forward.Pool, log *slog.Logger, r *dispatch.Reservation) bool {
+//
+// A check that began before the given time doesn't apply.
+func (s *crashChecks) crashed(ctx context.Context, pool *forward.Pool, log *slog.Logger, r *dispatch.Reservation, since time.Time) bool {
 	e := r.Endpoint()
-	c, first := s.check(e.ID())
+	c, first := s.check(e.ID(), since)
 	if !first {
 		<-c.done
 		return c.crashed
@@ -47,7 +49,7 @@
 
 // check returns the current check of an endpoint. If it has just been created, first is
 // true and the caller makes it.
-func (s *crashChecks) check(id string) (c *crashCheck, first bool) {
+func (s *crashChecks) check(id string, since time.Time) (c *crashCheck, first bool) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -56,7 +58,7 @@
 			delete(s.checks, id)
 		}
 	}
-	if c := s.checks[id]; c != nil {
+	if c := s.checks[id]; c != nil && !c.started.Before(since) {
 		return c, false
 	}
 	if s.checks == nil {
