process/gateway: let silence confirm no end of a response

Cause: the check whether the endpoint's process is gone waits 150 ms for a reply, and an endpoint without a reply was taken for alive.

A response without a length is now whole only if its endpoint replies, in up to three calls, or leaves as announced. Without a reply it is broken off, and no crash.

TestSilenceConfirmsNoEnd: without a reply the end was confirmed before.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -188,7 +188,7 @@
 			if !scanner.complete() {
 				return a.failure(ctx, errIncompleteStream, lastHeard, started)
 			}
-			if x.EndsWithConnection() && a.crashed(ctx, time.Now()) {
+			if !a.endsWhole(ctx, x) {
 				return a.failure(ctx, errEndpointGone, lastHeard, started)
 			}
 			a.permit.Begun(time.Now())
@@ -212,7 +212,7 @@
 	if err != nil {
 		return a.failure(ctx, err, sent, false)
 	}
-	if x.EndsWithConnection() && a.crashed(ctx, time.Now()) {
+	if !a.endsWhole(ctx, x) {
 		c.gateway.pool.Free(body)
 		return a.failure(ctx, errEndpointGone, sent, false)
 	}
@@ -233,14 +233,20 @@
 // Causes of a failure that show only when the connection has ended in order.
 var (
 	errIncompleteStream = errors.New("stream ended within an event or before the first")
-	errEndpointGone     = errors.New("response without a length ended with the endpoint's process")
+	errEndpointGone     = errors.New("response without a length ended with the endpoint's process, as far as is known")
 )
 
-// crashed reports whether the endpoint's process is gone, by a check that began at the given
-// time or later.
-func (a *attempt) crashed(ctx context.Context, since time.Time) bool {
+// crashed reports whether the endpoint's process is gone.
+func (a *attempt) crashed(ctx context.Context) bool {
 	g := a.call.gateway
-	return ctx.Err() == nil && g.crashes.crashed(ctx, g.pool, a.call.log, a.reservation, since)
+	return ctx.Err() == nil && g.crashes.check(ctx, g.pool, a.call.log, a.reservation, time.Now().Add(-crashCheckTTL), 1).crashed()
+}
+
+// endsWhole reports whether a response whose body has ended in order is whole. A response
+// without a length ends so with the endpoint's process too.
+func (a *attempt) endsWhole(ctx context.Context, x *forward.Exchange) bool {
+	g := a.call.gateway
+	return !x.EndsWithConnection() || ctx.Err() == nil && g.crashes.check(ctx, g.pool, a.call.log, a.reservation, time.Now(), maxReachTries).confirmsEnd()
 }
 
 // failure returns the update for a failure to send the request to the endpoint or to
@@ -260,7 +266,7 @@
 		c.log.Info("request withheld from the endpoint", "endpoint", e.ID(), "weights", a.reservation.Weights(), "err", withheld.Cause)
 		return update{result: notRun, outcome: dispatch.OutcomeCancelled, withheld: true}
 	}
-	crashed := !isUnsent && !a.answering() && a.crashed(ctx, time.Now().Add(-crashCheckTTL))
+	crashed := !isUnsent && !a.answering() && a.crashed(ctx)
 	point := "answer"
 	if started || a.resumed {
 		point = "event"
--- /dev/null
+++ b/internal/process/gateway/confirm_test.go
@@ -0,0 +1,27 @@
+package gateway
+
+import (
+	"testing"
+
+	"fulmardeal/internal/traffic/forward"
+)
+
+// An endpoint that doesn't reply when its response has ended with the connection must not
+// count as one that has sent all of it, nor as one that has crashed.
+func TestSilenceConfirmsNoEnd(t *testing.T) {
+	for _, c := range []struct {
+		reach              forward.Reach
+		leaving            bool
+		crashed, confirmed bool
+	}{
+		{forward.ReachOpen, false, false, true},
+		{forward.ReachRefused, false, true, false},
+		{forward.ReachUnknown, false, false, false},
+		{forward.ReachRefused, true, false, true},
+	} {
+		k := &crashCheck{reach: c.reach, leaving: c.leaving}
+		if k.crashed() != c.crashed || k.confirmsEnd() != c.confirmed {
+			t.Errorf("%+v: crashed %t, end confirmed %t", c, k.crashed(), k.confirmsEnd())
+		}
+	}
+}
--- a/internal/process/gateway/crash.go
+++ b/internal/process/gateway/crash.go
@@ -24,32 +24,49 @@
 type crashCheck struct {
 	started time.Time
 	done    chan struct{}
-	crashed bool // valid once done is closed
+
+	// These fields are valid once done is closed.
+	reach   forward.Reach
+	leaving bool
 }
 
-// crashed reports whether the process of an endpoint that broke off a response is gone. A
-// connection that was reset, a cut, an instance without power and an endpoint that
-// announced its end don't count.
-//
-// A check that began before the given time doesn't apply.
-func (s *crashChecks) crashed(ctx context.Context, pool *forward.Pool, log *slog.Logger, r *dispatch.Reservation, since time.Time) bool {
+// crashed reports whether the process is gone. A connection that was reset, a cut, an instance
+// without power and an endpoint that announced its end don't count.
+func (c *crashCheck) crashed() bool { return c.reach == forward.ReachRefused && !c.leaving }
+
+// confirmsEnd reports whether a response that ended with its connection may be taken for whole:
+// the process is there, or has ended as announced.
+func (c *crashCheck) confirmsEnd() bool { return c.reach == forward.ReachOpen || c.leaving }
+
+// maxReachTries is how often an endpoint is called that doesn't reply, to confirm the end of
+// a response. It may be busy.
+const maxReachTries = 3
+
+// check finds out whether the process of an endpoint that broke off a response is gone. It
+// may share a check that began at the given time or later. It calls the endpoint up to the
+// given number of times while there is no reply.
+func (s *crashChecks) check(ctx context.Context, pool *forward.Pool, log *slog.Logger, r *dispatch.Reservation, since time.Time, tries int) *crashCheck {
 	e := r.Endpoint()
-	c, first := s.check(e.ID(), since)
+	c, first := s.current(e.ID(), since)
 	if !first {
 		<-c.done
-		return c.crashed
+		return c
 	}
 	defer close(c.done)
-	reach := pool.Reach(context.WithoutCancel(ctx), e.Address())
+	for range tries {
+		if c.reach = pool.Reach(context.WithoutCancel(ctx), e.Address()); c.reach != forward.ReachUnknown {
+			break
+		}
+	}
 	leaving, cold := r.EndpointState()
-	c.crashed = reach == forward.ReachRefused && !leaving
-	log.Warn("endpoint checked", "endpoint", e.ID(), "address", e.Address(), "reach", reach, "leaving", leaving, "cold", cold, "crashed", c.crashed)
-	return c.crashed
+	c.leaving = leaving
+	log.Warn("endpoint checked", "endpoint", e.ID(), "address", e.Address(), "reach", c.reach, "leaving", leaving, "cold", cold, "crashed", c.crashed())
+	return c
 }
 
-// check returns the current check of an endpoint. If it has just been created, first is
+// current returns the current check of an endpoint. If it has just been created, first is
 // true and the caller makes it.
-func (s *crashChecks) check(id string, since time.Time) (c *crashCheck, first bool) {
+func (s *crashChecks) current(id string, since time.Time) (c *crashCheck, first bool) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
