traffic/forward: don't take an ending process for one that is there

Cause: the kernel ends the connections of a killed process some time before it closes its listener, and the check called in between.

An endpoint must now stay connected for 100 ms after the end of a stream without a length, and 30 ms after that of a plain response, and is called again if it closes the connection.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -188,7 +188,7 @@
 			if !scanner.complete() {
 				return a.failure(ctx, errIncompleteStream, lastHeard, started)
 			}
-			if !a.endsWhole(ctx, x) {
+			if !a.endsWhole(ctx, x, streamSettleTime) {
 				return a.failure(ctx, errEndpointGone, lastHeard, started)
 			}
 			a.permit.Begun(time.Now())
@@ -212,7 +212,7 @@
 	if err != nil {
 		return a.failure(ctx, err, sent, false)
 	}
-	if !a.endsWhole(ctx, x) {
+	if !a.endsWhole(ctx, x, plainSettleTime) {
 		c.gateway.pool.Free(body)
 		return a.failure(ctx, errEndpointGone, sent, false)
 	}
@@ -239,14 +239,14 @@
 // crashed reports whether the endpoint's process is gone.
 func (a *attempt) crashed(ctx context.Context) bool {
 	g := a.call.gateway
-	return ctx.Err() == nil && g.crashes.check(ctx, g.pool, a.call.log, a.reservation, time.Now().Add(-crashCheckTTL), 1).crashed()
+	return ctx.Err() == nil && g.crashes.check(ctx, g.pool, a.call.log, a.reservation, time.Now().Add(-crashCheckTTL), 0).crashed()
 }
 
 // endsWhole reports whether a response whose body has ended in order is whole. A response
 // without a length ends so with the endpoint's process too.
-func (a *attempt) endsWhole(ctx context.Context, x *forward.Exchange) bool {
+func (a *attempt) endsWhole(ctx context.Context, x *forward.Exchange, settle time.Duration) bool {
 	g := a.call.gateway
-	return !x.EndsWithConnection() || ctx.Err() == nil && g.crashes.check(ctx, g.pool, a.call.log, a.reservation, time.Now(), maxReachTries).confirmsEnd()
+	return !x.EndsWithConnection() || ctx.Err() == nil && g.crashes.check(ctx, g.pool, a.call.log, a.reservation, time.Now(), settle).confirmsEnd()
 }
 
 // failure returns the update for a failure to send the request to the endpoint or to
--- a/internal/process/gateway/crash.go
+++ b/internal/process/gateway/crash.go
@@ -38,14 +38,17 @@
 // the process is there, or has ended as announced.
 func (c *crashCheck) confirmsEnd() bool { return c.reach == forward.ReachOpen || c.leaving }
 
-// maxReachTries is how often an endpoint is called that doesn't reply, to confirm the end of
-// a response. It may be busy.
-const maxReachTries = 3
+// Times for which an endpoint must be there after the end of a response without a length, for
+// the response to be taken for whole.
+const (
+	streamSettleTime = 100 * time.Millisecond // the caller already has all events
+	plainSettleTime  = 30 * time.Millisecond
+)
 
 // check finds out whether the process of an endpoint that broke off a response is gone. It
-// may share a check that began at the given time or later. It calls the endpoint up to the
-// given number of times while there is no reply.
-func (s *crashChecks) check(ctx context.Context, pool *forward.Pool, log *slog.Logger, r *dispatch.Reservation, since time.Time, tries int) *crashCheck {
+// may share a check that began at the given time or later. If settle isn't zero, the process
+// must be there for so long.
+func (s *crashChecks) check(ctx context.Context, pool *forward.Pool, log *slog.Logger, r *dispatch.Reservation, since time.Time, settle time.Duration) *crashCheck {
 	e := r.Endpoint()
 	c, first := s.current(e.ID(), since)
 	if !first {
@@ -53,10 +56,10 @@
 		return c
 	}
 	defer close(c.done)
-	for range tries {
-		if c.reach = pool.Reach(context.WithoutCancel(ctx), e.Address()); c.reach != forward.ReachUnknown {
-			break
-		}
+	if settle > 0 {
+		c.reach = pool.ReachSettled(context.WithoutCancel(ctx), e.Address(), settle)
+	} else {
+		c.reach = pool.Reach(context.WithoutCancel(ctx), e.Address())
 	}
 	leaving, cold := r.EndpointState()
 	c.leaving = leaving
--- a/internal/traffic/forward/reach_test.go
+++ b/internal/traffic/forward/reach_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"fulmardeal/internal/traffic/forward"
 )
@@ -31,3 +32,22 @@
 		t.Errorf("no reply: %s, want %s", got, forward.ReachUnknown)
 	}
 }
+
+// A process that is ending may still accept a connection after it has ended others. It must
+// not count as one that is there.
+func TestReachOfEndingProcess(t *testing.T) {
+	p, closePool := forward.NewPool(1)
+	defer closePool()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	if got := p.ReachSettled(t.Context(), address, 50*time.Millisecond); got != forward.ReachOpen {
+		t.Errorf("a listening process: %s, want %s", got, forward.ReachOpen)
+	}
+	time.AfterFunc(30*time.Millisecond, func() { l.Close() })
+	if got := p.ReachSettled(t.Context(), address, 200*time.Millisecond); got != forward.ReachRefused {
+		t.Errorf("an ending process: %s, want %s", got, forward.ReachRefused)
+	}
+}
