--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -302,6 +302,7 @@
 func (d *deployment) launch(c *exec.Cmd) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if this process is killed
 	must(c.Start())
 	d.started = append(d.started, c)
 }
@@ -389,6 +390,7 @@
 	r.mu.Lock()
 	r.draining = true
 	r.mu.Unlock()
+	must(r.command.Process.Signal(syscall.SIGUSR1)) // it says so in its answers too
 	d.register(r)
 	d.note("runner %s reports draining", r.id)
 }
--- a/review/standin2/logs.go
+++ b/review/standin2/logs.go
@@ -37,6 +37,7 @@
 	entry := d.startGateway("front-1")
 	time.Sleep(2 * time.Second)
 	gateway := d.started[len(d.started)-1]
+	begun := time.Now()
 	ctx, stop := context.WithTimeout(context.Background(), floodTime)
 	defer stop()
 	var served, failed, sent atomic.Int64
@@ -54,7 +55,11 @@
 	})
 	callers.Go(func() {
 		for ctx.Err() == nil {
-			peak = max(peak, memoryOf(gateway.Process.Pid))
+			m := memoryOf(gateway.Process.Pid)
+			if m > gatewayMemory && peak <= gatewayMemory {
+				d.note("the entry holds more than its memory, %.1f s after the callers began", time.Since(begun).Seconds())
+			}
+			peak = max(peak, m)
 			time.Sleep(20 * time.Millisecond)
 		}
 	})
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -7,9 +7,12 @@
 	"io"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"fulmardeal"
@@ -40,6 +43,12 @@
 	f.DurationVar(&o.pause, "pause", 100*time.Millisecond, "pause between two events, or duration of a plain run")
 	_ = f.Parse(args) // exits on errors
 	s := &runnerServer{options: o}
+	leaves := make(chan os.Signal, 1)
+	signal.Notify(leaves, syscall.SIGUSR1)
+	go func() {
+		<-leaves
+		s.leaving.Store(true)
+	}()
 	var h http.Handler = http.HandlerFunc(s.serve)
 	if o.engine {
 		h = platform.EngineHandler(newEngineState(o.born), h)
@@ -103,6 +112,7 @@
 // runnerServer serves requests.
 type runnerServer struct {
 	options runnerOptions
+	leaving atomic.Bool // answers say that the runner leaves
 
 	mu     sync.Mutex
 	active int
@@ -117,7 +127,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	reply := fulmardeal.ResponseMetadata{AttemptID: m.AttemptID, Instance: o.id, Running: -1}
+	reply := fulmardeal.ResponseMetadata{AttemptID: m.AttemptID, Instance: o.id, Running: -1, Leaving: s.leaving.Load()}
 	if o.engine {
 		reply.WeightsVersion = 1
 	}
