--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -29,7 +29,7 @@
 		runRunner(os.Args[2:])
 		return
 	}
-	cases := map[string]func(*trial) (broken int, err error){"leave": playLeave, "tenants": playTenants}
+	cases := map[string]func(*trial) (broken int, err error){"leave": playLeave, "tenants": playTenants, "version": playVersion}
 	play := cases[os.Args[1]]
 	if play == nil || len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE FOLDER PROGRAM")
--- a/review/standin3/trial.go
+++ b/review/standin3/trial.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -26,6 +27,8 @@
 	drainTime = 2 * time.Second // bounds.drainMs
 	revokeMax = 5 * time.Second // bounds.revokeMs
 	readyWait = 20 * time.Second
+
+	contracts = "base,drain,config,cost,retry,recover,engine,stream,tenants,places,platform,chunks"
 )
 
 // trial is one run of a case: the stand-in of the store, the entry, and the record.
@@ -43,8 +46,10 @@
 	cleanups  []func()
 	closed    bool
 
-	callers   string // address for clients
-	readiness string
+	entry   *exec.Cmd // the entry that was started last
+	callers string    // its address for clients
+
+	versionBound time.Duration // bounds.version_ms; 0 for 8,000 ms
 }
 
 func newTrial(folder, program string) (*trial, error) {
@@ -116,9 +121,7 @@
 	if err != nil {
 		return "", err
 	}
-	server := &http.Server{Handler: t.store.Handler()}
-	go func() { _ = server.Serve(l) }()
-	t.cleanups = append(t.cleanups, func() { _ = server.Close() })
+	t.serveOn(l, t.store.Handler())
 	address, err := freeAddress()
 	if err != nil {
 		return "", err
@@ -132,50 +135,86 @@
 	return address, nil
 }
 
-// startEntry starts the entry with settings like those of a small deployment.
-func (t *trial) startEntry(store string) error {
-	var addresses [4]string
-	for i := range addresses {
-		a, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		addresses[i] = a
-	}
-	t.callers, t.readiness = addresses[0], addresses[1]
-	_, port, err := net.SplitHostPort(addresses[2])
+// serve serves HTTP at an address until the trial ends.
+func (t *trial) serve(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	first, err := strconv.Atoi(port)
+	t.serveOn(l, h)
+	return nil
+}
+
+func (t *trial) serveOn(l net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(l) }()
+	t.cleanups = append(t.cleanups, func() { _ = server.Close() })
+}
+
+// settings returns settings like those of a small deployment, for a process on a port of its own.
+func (t *trial) settings(name, store string) (fulmardeal.Settings, error) {
+	address, err := freeAddress()
 	if err != nil {
-		return err
+		return fulmardeal.Settings{}, err
 	}
-	s := fulmardeal.Settings{
-		Name: "front-gulf-a-1", IP: loopback, DataCentre: zone, Region: region, Regions: map[string]string{zone: region},
-		CallerAddress: t.callers, ReadinessAddress: t.readiness, PortRange: [2]int{first, first},
-		StoreAddress: store, MemoryLimit: 284 << 20, MaxFds: 4100, LinkMbps: 1000, HeartbeatInterval: heartbeat,
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return fulmardeal.Settings{}, err
+	}
+	first, err := strconv.Atoi(port)
+	return fulmardeal.Settings{
+		Name: name, IP: loopback, DataCentre: zone, Region: region, Regions: map[string]string{zone: region}, PortRange: [2]int{first, first},
+		StoreAddress: store, LinkMbps: 1000, HeartbeatInterval: heartbeat,
 		Bounds: fulmardeal.Bounds{
-			Drain: drainTime, Grace: 8 * time.Second, KeyRevocation: revokeMax, VersionSwitch: 8 * time.Second,
+			Drain: drainTime, Grace: 8 * time.Second, KeyRevocation: revokeMax, VersionSwitch: cmp.Or(t.versionBound, 8*time.Second),
 			RetryRatio: 0.2, RetryExtra: 106, RetryWindow: 10 * time.Second, ColdRateFactor: 1.5,
 		},
+	}, err
+}
+
+// startProgram starts a program of the deploy file with its settings.
+func (t *trial) startProgram(role string, s fulmardeal.Settings) (*exec.Cmd, error) {
+	metrics, err := freeAddress()
+	if err != nil {
+		return nil, err
 	}
-	file := filepath.Join(t.dir, "entry.conf")
-	if err := os.WriteFile(file, []byte(platform.FormatSettings(s)), 0o600); err != nil {
-		return err
+	file := filepath.Join(t.dir, s.Name+".conf")
+	text := platform.FormatSettings(s) + "contracts=" + contracts + "\nbounds.strictRevoke=true\n"
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return nil, err
 	}
-	out, err := os.Create(filepath.Join(t.dir, "entry.log"))
+	out, err := os.OpenFile(filepath.Join(t.dir, s.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	t.cleanups = append(t.cleanups, func() { _ = out.Close() })
-	cmd := exec.Command(t.program, "gateway", "--metrics", addresses[3])
+	cmd := exec.Command(t.program, role, "--metrics", metrics)
 	cmd.Env = append(os.Environ(), platform.SettingsEnv(file))
 	cmd.Stdout, cmd.Stderr = out, out
-	if err := t.startProcess(cmd); err != nil {
+	return cmd, t.startProcess(cmd)
+}
+
+// startEntry starts the entry, and waits until it is ready.
+func (t *trial) startEntry(store string) error {
+	s, err := t.settings("front-"+zone+"-1", store)
+	if err != nil {
 		return err
 	}
-	for by := time.Now().Add(readyWait); time.Now().Before(by); time.Sleep(100 * time.Millisecond) {
+	if s.CallerAddress, err = freeAddress(); err != nil {
+		return err
+	}
+	if s.ReadinessAddress, err = freeAddress(); err != nil {
+		return err
+	}
+	s.MemoryLimit, s.MaxFds = 284<<20, 4100
+	cmd, err := t.startProgram("gateway", s)
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	t.entry, t.callers = cmd, s.CallerAddress
+	t.mu.Unlock()
+	for by := time.Now().Add(readyWait); time.Now().Before(by); time.Sleep(20 * time.Millisecond) {
 		resp, err := http.Get(platform.ReadinessURL(s))
 		if err != nil {
 			continue
@@ -189,6 +228,18 @@
 	return fmt.Errorf("the entry was not ready after %v", readyWait)
 }
 
+// startAgent starts the agent of an engine.
+func (t *trial) startAgent(i int, store, engine string) error {
+	s, err := t.settings(fmt.Sprintf("side-%s-%d", zone, i+1), store)
+	if err != nil {
+		return err
+	}
+	s.MemoryLimit, s.MaxFds, s.LinkMbps = 152<<20, 2048, 7.6
+	s.EndpointAddress, s.Service = engine, pool
+	_, err = t.startProgram("loader", s)
+	return err
+}
+
 // configure writes a configuration to the store, whose answer is the acknowledgement.
 func (t *trial) configure(c *fulmardeal.Catalogue) error {
 	record, err := platform.ConfigRecord(c)
