--- a/review/standin3/version.go
+++ b/review/standin3/version.go
@@ -25,10 +25,10 @@
 	engineLayers = 4
 	engineChunks = 8
 	chunkBytes   = 4 << 10
-	engines      = 4
+	engines      = 6
 	eventTime    = 20 * time.Millisecond
-	callInterval = 5 * time.Millisecond
-	callRounds   = 2
+	callInterval = 3 * time.Millisecond
+	callRounds   = 4
 )
 
 func poolSpec() *fulmardeal.EngineSpec {
