fleet/feed: a response that stops before the end of the log makes the state no younger

Seen by callers: requests ran with a key that had been taken away more than 5 s before (CONFIG), at an entry that the store had turned away for 9 s and then served again. Cause: a read of the log returns 1,024 KB at most and names the log's end. platform.Store dropped the end, and feed.Follower took each response for the state as of the start of its call: keys counted as confirmed from the oldest part of what was missed on. The bound on the age of later changes (weights' versions) and the age that relays state came from the same reading. Besides, the age was set before the response's changes were in force. Ruled out: the bound of the keys' age, which held all through the outage; the reader of the product's own log, which reads until nothing is left. Change: Feed.Since returns how far a read has come and the feed's end. The state counts as current at the start of a call once a later response has reached the end named by the response to that call, and only when its changes are applied. The next read follows at once.

--- a/internal/fleet/feed/fault_test.go
+++ b/internal/fleet/feed/fault_test.go
@@ -20,8 +20,8 @@
 	return []fulmardeal.Change{{Key: "odd", Offset: f.offset, Fault: errors.New("slots: missing")}, {Key: "good", Offset: 1}}, 10, nil
 }
 
-func (f *faultyFeed) Since(context.Context, fulmardeal.Position, time.Duration) ([]fulmardeal.Change, fulmardeal.Position, error) {
-	return nil, 0, &fulmardeal.TrimmedError{First: 10}
+func (f *faultyFeed) Since(context.Context, fulmardeal.Position, time.Duration) ([]fulmardeal.Change, fulmardeal.Progress, error) {
+	return nil, fulmardeal.Progress{}, &fulmardeal.TrimmedError{First: 10}
 }
 
 // A record that can't be decoded is returned by each full read, but is logged and counted
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -94,15 +94,26 @@
 	mu        sync.Mutex
 	everKnown bool
 	lastKnown time.Duration // Options.Clock reading at which the state last read was still current
+	lastRead  time.Duration // the same for the part of the state that the last response held; later than lastKnown if the feed goes on after that part
 	down      bool          // the last call failed
 	disturbed time.Duration // Options.Clock reading at which the store was last seen disturbed, or at which the follower was created
 
+	// backlog is what the follower has yet to read. Only Run's goroutine uses it.
+	backlog backlog
+
 	// confirmAt is the clock reading at which a full read is due that confirms the
 	// state after the store was restored; zero if none is. Only Run's goroutine uses
 	// it.
 	confirmAt time.Duration
 }
 
+// backlog is the part of a feed that a response has left out because it holds too much.
+// The zero value is none.
+type backlog struct {
+	end  fulmardeal.Position // end of the feed as of the response
+	asOf time.Duration       // Options.Clock reading at which the response was current
+}
+
 // New returns a follower that has not read anything yet.
 func New(o Options) *Follower {
 	if o.Clock == nil {
@@ -114,8 +125,8 @@
 	return &Follower{options: o, disturbed: o.Clock()}
 }
 
-// Age returns the age of the last successful read of the store, and whether
-// there was one. Time during which the instance was suspended counts.
+// Age returns how long ago the state that has been read and applied was last known to be the
+// store's, and whether there is one. Time during which the instance was suspended counts.
 func (f *Follower) Age() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -137,10 +148,13 @@
 		if f.options.Pause != nil {
 			pause = f.options.Pause(pause)
 		}
-		if err != nil {
+		switch {
+		case err != nil:
 			pause = time.Duration(float64(retry) * (0.5 + rand.Float64()))
 			retry = min(2*retry, maxRetryDelay)
-		} else {
+		case f.backlog.end > next:
+			pause, retry = 0, minRetryDelay
+		default:
 			retry = minRetryDelay
 		}
 		sleep(ctx, pause)
@@ -163,13 +177,15 @@
 		ctx = probe
 	}
 	var changes []fulmardeal.Change
-	var after fulmardeal.Position
+	var progress fulmardeal.Progress
 	var err error
 	if full {
-		changes, after, err = f.options.Feed.Newest(ctx)
+		changes, progress.Next, err = f.options.Feed.Newest(ctx)
+		progress.End = progress.Next
 	} else {
-		changes, after, err = f.options.Feed.Since(ctx, next, wait)
+		changes, progress, err = f.options.Feed.Since(ctx, next, wait)
 	}
+	after := progress.Next
 	var trimmed *fulmardeal.TrimmedError
 	if errors.As(err, &trimmed) {
 		f.options.Log.Info("feed history trimmed; reading the full state", "feed", f.options.Name, "from", int64(next), "first", int64(trimmed.First))
@@ -190,7 +206,7 @@
 		return next, full, &StaleError{Have: next, Got: after}
 	}
 	asOf := callStart
-	if !full && len(changes) == 0 {
+	if !full && len(changes) == 0 && progress.Complete() {
 		// The response is empty because the store had no change until the end of the
 		// wait, so the state already known was still current then.
 		if f.options.Waited != nil {
@@ -202,13 +218,36 @@
 		asOf -= f.options.Lag()
 	}
 	batch := Batch{Changes: changes, Next: after, Full: full, Restored: full && f.known() && after.Era() > next.Era(), MaxAge: f.maxAge(callStart, changes, full)}
-	batch.SinceLastRead = f.recordSuccess(asOf)
+	batch.SinceLastRead = f.recordResponse(asOf)
 	f.scheduleConfirmation(batch)
 	f.options.Faults.Record(f.options.Name, changes)
 	f.options.Apply(batch)
+	// What a response says of the state's age holds once its changes are in force.
+	f.recordKnown(f.currentAt(asOf, progress))
 	return after, false, nil
 }
 
+// currentAt returns the clock reading at which the state that has been read was the store's,
+// given that the last response was current at asOf. It returns 0 if nothing new is known of
+// it: a response that stops before the end of the feed doesn't tell when the first record
+// after it was written. Once a later response reaches that end, the state was current at the
+// earlier response's time.
+func (f *Follower) currentAt(asOf time.Duration, p fulmardeal.Progress) time.Duration {
+	if p.Complete() {
+		f.backlog = backlog{}
+		return asOf
+	}
+	current := time.Duration(0)
+	if f.backlog.end != 0 && p.Next >= f.backlog.end {
+		current, f.backlog = f.backlog.asOf, backlog{}
+	}
+	if f.backlog.end == 0 {
+		f.options.Log.Info("feed goes on after a response", "feed", f.options.Name, "next", p.Next.Offset(), "end", p.End.Offset())
+		f.backlog = backlog{end: p.End, asOf: asOf}
+	}
+	return current
+}
+
 // maxAge returns an upper bound on the time since the changes of the read that has just
 // ended were written.
 func (f *Follower) maxAge(callStart time.Duration, changes []fulmardeal.Change, full bool) time.Duration {
@@ -250,22 +289,30 @@
 
 func (e *StaleError) Error() string { return "store returned an earlier state than one already read" }
 
-// recordSuccess records that the store's state at the clock reading asOf is known.
-// It returns the time since the previous successful read.
-func (f *Follower) recordSuccess(asOf time.Duration) time.Duration {
+// recordResponse records a response that was current at the clock reading asOf. It returns
+// the time since the previous one.
+func (f *Follower) recordResponse(asOf time.Duration) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	elapsed := asOf - f.lastKnown
+	elapsed := asOf - f.lastRead
 	if !f.everKnown {
 		elapsed = 0
 	}
 	if f.down || !f.everKnown {
 		f.options.Log.Info("store reached", "feed", f.options.Name, "silence", elapsed)
 	}
-	f.everKnown, f.lastKnown, f.down = true, max(f.lastKnown, asOf), false
+	f.lastRead, f.down = max(f.lastRead, asOf), false
 	return elapsed
 }
 
+// recordKnown records that the state that has been read and applied was the store's at the
+// clock reading asOf.
+func (f *Follower) recordKnown(asOf time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.everKnown, f.lastKnown = true, max(f.lastKnown, asOf)
+}
+
 func (f *Follower) isDown() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/feed/follower_test.go
+++ b/internal/fleet/feed/follower_test.go
@@ -36,7 +36,7 @@
 	return []fulmardeal.Change{{Key: "k", Offset: end - 1}}, end, nil
 }
 
-func (s *fakeStore) Since(ctx context.Context, from fulmardeal.Position, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Position, error) {
+func (s *fakeStore) Since(ctx context.Context, from fulmardeal.Position, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Progress, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
 	until := time.Now().Add(wait)
@@ -51,15 +51,15 @@
 		switch {
 		case hanging:
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return nil, fulmardeal.Progress{}, ctx.Err()
 		case from < first:
-			return nil, 0, &fulmardeal.TrimmedError{First: fulmardeal.Offset(first)}
+			return nil, fulmardeal.Progress{}, &fulmardeal.TrimmedError{First: fulmardeal.Offset(first)}
 		case from < end:
-			return []fulmardeal.Change{{Key: "k", Offset: end - 1}}, end, nil
+			return []fulmardeal.Change{{Key: "k", Offset: end - 1}}, fulmardeal.Progress{Next: end, End: end}, nil
 		case end < from:
-			return nil, end, nil
+			return nil, fulmardeal.Progress{Next: end, End: end}, nil
 		case !time.Now().Before(until):
-			return nil, from, nil
+			return nil, fulmardeal.Progress{Next: from, End: from}, nil
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -271,12 +271,13 @@
 }
 
 // Since returns the changes from an offset on.
-func (f *RelayClient) Since(ctx context.Context, from fulmardeal.Position, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Position, error) {
+func (f *RelayClient) Since(ctx context.Context, from fulmardeal.Position, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Progress, error) {
 	changes, next, err, done := f.request(ctx, ReadRequest{Feed: f.Name, From: from}, relayPollWait+relayCallTimeout)
 	if !done {
 		return f.Store.Since(ctx, from, wait)
 	}
-	return changes, next, err
+	// A relay sends all that it has. What it hasn't read itself counts in its age.
+	return changes, fulmardeal.Progress{Next: next, End: next}, err
 }
 
 // Pause returns the time until the next call, given the pause that is usual between
--- a/internal/fleet/feed/relay_test.go
+++ b/internal/fleet/feed/relay_test.go
@@ -35,9 +35,10 @@
 	return slices.Clone(d.log), fulmardeal.Position(len(d.log)), nil
 }
 
-func (d *memoryStore) Since(_ context.Context, from fulmardeal.Position, _ time.Duration) ([]fulmardeal.Change, fulmardeal.Position, error) {
+func (d *memoryStore) Since(_ context.Context, from fulmardeal.Position, _ time.Duration) ([]fulmardeal.Change, fulmardeal.Progress, error) {
 	d.calls++
-	return slices.Clone(d.log[from:]), fulmardeal.Position(len(d.log)), nil
+	end := fulmardeal.Position(len(d.log))
+	return slices.Clone(d.log[from:]), fulmardeal.Progress{Next: end, End: end}, nil
 }
 
 // relays maps addresses to relays and stands in for the RPC client.
@@ -101,9 +102,9 @@
 			relay.Put("list", Batch{Changes: store.log[2:], Next: 4})
 		}()
 		start := time.Now()
-		changes, next, err = f.Since(t.Context(), 2, 0)
-		if d := gocmp.Diff([]string{"-a", "c"}, keys(changes)); d != "" || next != 4 || err != nil || time.Since(start) != 100*time.Millisecond {
-			t.Fatalf("after %v: next %d, %v: %s", time.Since(start), next, err, d)
+		changes, progress, err := f.Since(t.Context(), 2, 0)
+		if d := gocmp.Diff([]string{"-a", "c"}, keys(changes)); d != "" || progress.Next != 4 || err != nil || time.Since(start) != 100*time.Millisecond {
+			t.Fatalf("after %v: %+v, %v: %s", time.Since(start), progress, err, d)
 		}
 		if f.Pause(time.Second) != 0 || store.calls != before {
 			t.Errorf("pause %v, %d calls to the store; want 0 and no calls", f.Pause(time.Second), store.calls-before)
@@ -111,9 +112,9 @@
 
 		store.put("d", false)
 		age = 2 * relayMaxAge // the relay has lost contact with the store
-		changes, next, err = f.Since(t.Context(), 4, 0)
-		if d := gocmp.Diff([]string{"d"}, keys(changes)); d != "" || next != 5 || err != nil || f.Pause(time.Second) != time.Second {
-			t.Errorf("next %d, %v, pause %v: %s", next, err, f.Pause(time.Second), d)
+		changes, progress, err = f.Since(t.Context(), 4, 0)
+		if d := gocmp.Diff([]string{"d"}, keys(changes)); d != "" || progress.Next != 5 || err != nil || f.Pause(time.Second) != time.Second {
+			t.Errorf("%+v, %v, pause %v: %s", progress, err, f.Pause(time.Second), d)
 		}
 	})
 }
@@ -132,16 +133,16 @@
 		sound.Put("list", Batch{Changes: store.log[1:], Next: 2})
 		start := time.Now()
 		for next := fulmardeal.Position(1); next < 2; {
-			var err error
-			if _, next, err = f.Since(t.Context(), next, 0); err != nil {
+			_, progress, err := f.Since(t.Context(), next, 0)
+			if next = progress.Next; err != nil {
 				t.Fatal(err)
 			}
 		}
 		if took := time.Since(start); took > relayPollWait {
 			t.Errorf("change read after %v, want at most relayPollWait", took)
 		}
-		if _, next, err := f.Since(t.Context(), 2, 0); err != nil || next != 2 {
-			t.Errorf("next %d, %v; want 2: an older state was applied", next, err)
+		if _, progress, err := f.Since(t.Context(), 2, 0); err != nil || progress.Next != 2 {
+			t.Errorf("%+v, %v; want 2: an older state was applied", progress, err)
 		}
 	})
 }
--- a/internal/fleet/feed/restore_test.go
+++ b/internal/fleet/feed/restore_test.go
@@ -187,7 +187,7 @@
 	return s.changes(max(0, len(s.versions)-1)), s.at(len(s.versions)), nil
 }
 
-func (s *eraStore) Since(_ context.Context, from fulmardeal.Position, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Position, error) {
+func (s *eraStore) Since(_ context.Context, from fulmardeal.Position, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Progress, error) {
 	until := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
@@ -195,11 +195,11 @@
 		s.mu.Unlock()
 		switch {
 		case era != from.Era():
-			return nil, 0, &fulmardeal.EraError{Have: from.Era(), Got: era}
+			return nil, fulmardeal.Progress{}, &fulmardeal.EraError{Have: from.Era(), Got: era}
 		case len(changes) > 0:
-			return changes, end, nil
+			return changes, fulmardeal.Progress{Next: end, End: end}, nil
 		case !time.Now().Before(until):
-			return nil, from, nil
+			return nil, fulmardeal.Progress{Next: from, End: from}, nil
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -84,10 +84,11 @@
 }
 
 func (f topicFeed) Newest(ctx context.Context) ([]fulmardeal.Change, fulmardeal.Position, error) {
-	return f.Since(ctx, 0, 0)
+	changes, progress, err := f.Since(ctx, 0, 0)
+	return changes, progress.Next, err
 }
 
-func (f topicFeed) Since(ctx context.Context, from fulmardeal.Position, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Position, error) {
+func (f topicFeed) Since(ctx context.Context, from fulmardeal.Position, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Progress, error) {
 	start := time.Now()
 	until := start.Add(wait)
 	f.store.mu.Lock()
@@ -99,21 +100,22 @@
 		unresponsive, all, silent := f.store.unresponsive, f.store.records[f.name], f.store.silenced != silenced
 		f.store.mu.Unlock()
 		if silent {
-			return nil, 0, timeOut(ctx, until.Add(callTimeout))
+			return nil, fulmardeal.Progress{}, timeOut(ctx, until.Add(callTimeout))
 		}
 		if unresponsive {
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return nil, fulmardeal.Progress{}, ctx.Err()
 		}
 		if ctx.Err() != nil {
-			return nil, 0, ctx.Err()
+			return nil, fulmardeal.Progress{}, ctx.Err()
 		}
 		if len(all) > int(from) || time.Now().After(until) {
 			changes := slices.Clone(all[min(int(from), len(all)):])
 			for i := range changes {
 				changes[i].Awaited = time.Since(start) > 100*time.Millisecond
 			}
-			return changes, fulmardeal.Position(len(all)), nil
+			end := fulmardeal.Position(len(all))
+			return changes, fulmardeal.Progress{Next: end, End: end}, nil
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/internal/process/gateway/relay_test.go
+++ b/internal/process/gateway/relay_test.go
@@ -25,7 +25,7 @@
 	reads *atomic.Int32
 }
 
-func (f countFeed) Since(ctx context.Context, from fulmardeal.Position, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Position, error) {
+func (f countFeed) Since(ctx context.Context, from fulmardeal.Position, wait time.Duration) ([]fulmardeal.Change, fulmardeal.Progress, error) {
 	f.reads.Add(1)
 	return f.Feed.Since(ctx, from, wait)
 }
--- a/internal/process/loader/loader_test.go
+++ b/internal/process/loader/loader_test.go
@@ -197,8 +197,8 @@
 	return nil, 0, context.DeadlineExceeded
 }
 
-func (downStore) Since(context.Context, fulmardeal.Position, time.Duration) ([]fulmardeal.Change, fulmardeal.Position, error) {
-	return nil, 0, context.DeadlineExceeded
+func (downStore) Since(context.Context, fulmardeal.Position, time.Duration) ([]fulmardeal.Change, fulmardeal.Progress, error) {
+	return nil, fulmardeal.Progress{}, context.DeadlineExceeded
 }
 
 func (n downStore) Operator() fulmardeal.Feed      { return n }
--- a/internal/traffic/sharing/sharing_test.go
+++ b/internal/traffic/sharing/sharing_test.go
@@ -343,8 +343,8 @@
 	return out, 1, nil
 }
 
-func (l fixedList) Since(context.Context, fulmardeal.Position, time.Duration) ([]fulmardeal.Change, fulmardeal.Position, error) {
-	return nil, 1, nil
+func (l fixedList) Since(context.Context, fulmardeal.Position, time.Duration) ([]fulmardeal.Change, fulmardeal.Progress, error) {
+	return nil, fulmardeal.Progress{Next: 1, End: 1}, nil
 }
 
 func (fixedList) Announce(context.Context, string, string, string) error { return nil }
--- a/pool.go
+++ b/pool.go
@@ -255,14 +255,23 @@
 	// to continue with Since.
 	Newest(ctx context.Context) ([]Change, Position, error)
 
-	// Since returns the changes at the given position and later, and the position
-	// from which to continue. If there are no such changes yet, it waits for the
-	// first one, at most for the given time. It returns a *TrimmedError if some of
-	// the requested records have expired, and an *EraError if the store is in
-	// another era.
-	Since(ctx context.Context, from Position, wait time.Duration) ([]Change, Position, error)
+	// Since returns the changes at the given position and later, or the oldest of them
+	// if there are many. If there are no such changes yet, it waits for the first one, at
+	// most for the given time. It returns a *TrimmedError if some of the requested
+	// records have expired, and an *EraError if the store is in another era.
+	Since(ctx context.Context, from Position, wait time.Duration) ([]Change, Progress, error)
 }
 
+// Progress tells how far a read of a feed has come.
+type Progress struct {
+	Next Position // from which to continue
+	End  Position // of the feed when the response was sent
+}
+
+// Complete reports whether the read has reached the end of the feed. Otherwise there are
+// records that the reader doesn't know, and the state that it does know may be out of date.
+func (p Progress) Complete() bool { return p.Next >= p.End }
+
 // Bounds are the limits on times and rates that operators require the system to keep.
 // A limit on a time says from which event to which other event it applies.
 type Bounds struct {
