link/framing: one check of responses' heads below all parsers

Seen by callers: an answer whose status was 000, 001, 099 or +20, or whose head or trailer held a field with a blank or a control byte in its name, was passed on or made the head after it the answer; a length or a "not run" of such a name had no effect. Cause: net/http takes such heads. A status below 200 counts as informational, blanks in names are left to its user, a length beside chunks is dropped; fasthttp accepts more. No reader checked. Change: a scanner follows the messages on a connection byte by byte and fails the read before a parser has the end of a malformed head or trailer. Ruled out as places: the parsed head (folded lines and blank names are mended by then), each client for itself.

--- a/internal/platform/adapter/client.go
+++ b/internal/platform/adapter/client.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"fulmardeal"
+	"fulmardeal/internal/link/framing"
 )
 
 // Timeouts and limits of calls to the platform.
@@ -67,7 +68,7 @@
 			if err != nil {
 				return nil, &dialError{cause: err}
 			}
-			return &requestConn{Conn: c}, nil
+			return &requestConn{Conn: framing.NewConn(c)}, nil
 		},
 	}
 }
--- a/internal/platform/adapter/heads_test.go
+++ b/internal/platform/adapter/heads_test.go
@@ -5,10 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
 	"golang.org/x/tools/txtar"
+
+	"fulmardeal/internal/proof/script"
 )
 
 // cuttingServer sends a response up to a length on each connection, and ends the connection.
@@ -99,3 +102,35 @@
 		t.Errorf("%s, kept: %v: %q after the whole response", form, kept, got)
 	}
 }
+
+// A malformed head of an endpoint is not taken for an answer.
+func TestMalformedHead(t *testing.T) {
+	script.Run(t, "../../link/framing/testdata/malformed.txt", func(fields []string) error {
+		text, err := strconv.Unquote(fields[1])
+		if err != nil {
+			return err
+		}
+		const length, chunks = "Fulmardeal-Attempt: one\r\nContent-Length: 5\r\n", "Fulmardeal-Attempt: one\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+		for _, response := range map[string][]string{
+			"status":  {"HTTP/1.1 " + text + " OK\r\n" + length + "\r\nwhole", "HTTP/1.1 " + text + " OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + length + "\r\nwhole"},
+			"line":    {"HTTP/1.1 200 OK\r\n" + text + "\r\n" + length + "\r\nwhole", "HTTP/1.1 200 OK\r\n" + length + text + "\r\n\r\nwhole"},
+			"trailer": {"HTTP/1.1 200 OK\r\n" + chunks + text + "\r\n\r\n"},
+		}[fields[0]] {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return err
+			}
+			s := &cuttingServer{listener: l, response: response}
+			go s.serve()
+			e, err := NewEndpoint("http://" + l.Addr().String())
+			if err != nil {
+				return err
+			}
+			if got := callOnce(t, e, "one"); got != "lost" && got != "broken" {
+				t.Errorf("%q after %q", got, response)
+			}
+			l.Close()
+		}
+		return nil
+	})
+}
--- a/internal/proof/script/script.go
+++ b/internal/proof/script/script.go
@@ -12,7 +12,7 @@
 // Run calls step with the space-separated fields of each line of a file, and
 // fails the test for each line whose step returns an error. Empty lines and
 // those that begin with # are skipped.
-func Run(t *testing.T, path string, step func(fields []string) error) {
+func Run(t testing.TB, path string, step func(fields []string) error) {
 	t.Helper()
 	file, err := os.Open(path)
 	if err != nil {
--- a/internal/traffic/forward/exchange.go
+++ b/internal/traffic/forward/exchange.go
@@ -115,12 +115,12 @@
 	}
 	if len(r.Body) <= maxInlineBodyBytes {
 		header.Write(r.Body)
-		if _, err := x.conn.Write(header.Bytes()); err != nil {
+		if _, err := x.conn.framed.Write(header.Bytes()); err != nil {
 			return err
 		}
 		x.bodyWritten <- nil
 	} else {
-		c := x.conn // Release may set x.conn to nil before the request body is written
+		c := x.conn.framed // Release may set x.conn to nil before the request body is written
 		go func() {
 			_, err := c.Write(header.Bytes())
 			if err == nil {
--- a/internal/traffic/forward/pool.go
+++ b/internal/traffic/forward/pool.go
@@ -2,9 +2,9 @@
 // response. It never retries: every call sends one request on one connection,
 // and the type of an error tells whether the endpoint may have received it.
 //
-// Responses are parsed by net/http, but the package manages its own connections,
-// because http.Transport may silently resend a request if a reused connection
-// turns out to be closed.
+// Responses are checked by package framing and parsed by net/http, but the package
+// manages its own connections, because http.Transport may silently resend a request
+// if a reused connection turns out to be closed.
 package forward
 
 import (
@@ -18,6 +18,7 @@
 
 	"fulmardeal"
 	"fulmardeal/internal/link/connection"
+	"fulmardeal/internal/link/framing"
 )
 
 // Timeouts and limits of connections.
@@ -81,7 +82,8 @@
 // conn is a connection to an endpoint.
 type conn struct {
 	net.Conn
-	limiter     *headLimiter
+	framed      *framing.Conn // carries the requests and responses
+	limiter     *headLimiter  // reads from framed
 	reader      *bufio.Reader // reads from limiter
 	idleSince   time.Time
 	idleTimeout time.Duration // idle time after which the connection isn't reused
@@ -161,8 +163,9 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	l := &headLimiter{Conn: n, share: p.buffered.Share(freeHeadBytes)}
-	c := &conn{Conn: n, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
+	f := framing.NewConn(n)
+	l := &headLimiter{Conn: f, share: p.buffered.Share(freeHeadBytes)}
+	c := &conn{Conn: n, framed: f, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
 	trail.add(c)
 	return c, nil
 }
