process/gateway: a body that ends with its connection is whole only after the whole request

Seen by callers: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written; the part arrived as a complete answer. Cause: a reset is reported once. The write of the upload got it, and the read of the response an end in order, which is how such a body ends. After the endpoint has closed its side, a reset isn't reported to a reader at all. Ruled out: the check of the endpoint's process, which found it. Change: framing.Conn follows the request as well. After the endpoint's process has been there for a moment (0.1 s if the body was larger than 16 KiB, 30 ms otherwise), the socket is asked for an error. A response with a length or chunks is passed on as before.

--- a/internal/link/framing/scanner.go
+++ b/internal/link/framing/scanner.go
@@ -1,6 +1,7 @@
 // Package framing checks the framing of HTTP/1.1 messages on a client's connection: the heads
 // of responses, and where messages end. The parsers of net/http and fasthttp accept heads that
-// RFC 9112 forbids.
+// RFC 9112 forbids, and neither tells a response that ends with its connection from one whose
+// request never reached the server.
 package framing
 
 import (
--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -236,7 +236,7 @@
 // Causes of a failure that show only when the connection has ended in order.
 var (
 	errIncompleteStream = errors.New("stream ended within an event or before the first")
-	errEndpointGone     = errors.New("response without a length ended with the endpoint's process, as far as is known")
+	errEndpointGone     = errors.New("response without a length ended with the endpoint's process or its connection, as far as is known")
 )
 
 // crashed reports whether the endpoint's process is gone. It takes its time if a part of the
@@ -251,10 +251,17 @@
 }
 
 // endsWhole reports whether a response whose body has ended in order is whole. A response
-// without a length ends so with the endpoint's process too.
+// without a length ends so with the endpoint's process too, and with its side of a connection
+// that it resets afterwards, because it hasn't read the request.
 func (a *attempt) endsWhole(ctx context.Context, x *forward.Exchange, settle time.Duration) bool {
 	g := a.call.gateway
-	return !x.EndsWithConnection() || ctx.Err() == nil && g.crashes.check(ctx, g.pool, a.call.log, a.reservation, time.Now(), settle).confirmsEnd()
+	if !x.EndsWithConnection() {
+		return true
+	}
+	if len(a.request.Body) > maxSmallBody {
+		settle = max(settle, uploadSettleTime)
+	}
+	return ctx.Err() == nil && g.crashes.check(ctx, g.pool, a.call.log, a.reservation, time.Now(), settle).confirmsEnd() && !x.Failed()
 }
 
 // failure returns the update for a failure to send the request to the endpoint or to
--- a/internal/process/gateway/crash.go
+++ b/internal/process/gateway/crash.go
@@ -43,8 +43,13 @@
 const (
 	streamSettleTime = 100 * time.Millisecond // the caller already has all events
 	plainSettleTime  = 30 * time.Millisecond
+	uploadSettleTime = 100 * time.Millisecond // the request's body was large, and the endpoint may have left it unread
 )
 
+// maxSmallBody is the size up to which a request's body isn't large: an endpoint gets it
+// together with the head.
+const maxSmallBody = 16 << 10
+
 // crashSettleTime is how long a process that closed a connection must be there in order not to
 // count as ended. The next attempt waits for it.
 const crashSettleTime = 30 * time.Millisecond
--- a/internal/traffic/forward/exchange.go
+++ b/internal/traffic/forward/exchange.go
@@ -194,13 +194,18 @@
 	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0 && x.response.StatusCode != http.StatusNoContent
 }
 
+// Failed reports whether the connection has failed since the end of the response, although
+// it had been closed in order.
+func (x *Exchange) Failed() bool { return x.conn.framed.Failed() }
+
 // Reused reports whether the connection had carried an earlier request.
 func (x *Exchange) Reused() bool { return x.conn.reused }
 
 // Read reads the response body. io.EOF means that the body is complete: it has
 // reached its Content-Length or its final chunk, or the connection was closed in
-// order if the response has neither length nor chunks. Any other end is a
-// *LostError. It fails if no bytes arrive by the given time; zero means no limit.
+// order, after the whole request had been sent, if the response has neither length
+// nor chunks. Any other end is a *LostError. It fails if no bytes arrive by the given
+// time; zero means no limit.
 func (x *Exchange) Read(p []byte, by time.Time) (int, error) {
 	if err := x.conn.SetReadDeadline(by); err != nil {
 		return 0, &LostError{Address: x.address, Reused: x.conn.reused, Cause: err}
