process/gateway: a leaving endpoint's announcement vouches for no end of a response

Cause: crashCheck.confirmsEnd counted a process that is gone as a regular end if the endpoint had announced that it leaves. The same cause as a body that ends with its connection while the request is written: nothing vouched for it. Ruled out: counting such ends as crashes, which would blame sound parts of prompts when endpoints leave. Change: the process must be there. If it no longer listens and has announced that it leaves, another connection that it keeps open to this entry after the settling time shows that it is. The very last response of such an endpoint can't be told from a part; it is told as broken (docs/design/platform.md).

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -251,8 +251,9 @@
 }
 
 // endsWhole reports whether a response whose body has ended in order is whole. A response
-// without a length ends so with the endpoint's process too, and with its side of a connection
-// that it resets afterwards, because it hasn't read the request.
+// without a length ends so with the endpoint's process too, whether or not it has said that it
+// leaves, and with its side of a connection that it resets afterwards, because it hasn't read
+// the request.
 func (a *attempt) endsWhole(ctx context.Context, x *forward.Exchange, settle time.Duration) bool {
 	g := a.call.gateway
 	if !x.EndsWithConnection() {
@@ -261,7 +262,19 @@
 	if len(a.request.Body) > maxSmallBody {
 		settle = max(settle, uploadSettleTime)
 	}
-	return ctx.Err() == nil && g.crashes.check(ctx, g.pool, a.call.log, a.reservation, time.Now(), settle).confirmsEnd() && !x.Failed()
+	if ctx.Err() != nil {
+		return false
+	}
+	check := g.crashes.check(ctx, g.pool, a.call.log, a.reservation, time.Now(), settle)
+	there := check.confirmsEnd()
+	if check.mayBeLeaving() {
+		select {
+		case <-time.After(settle): // the kernel may still be closing the connections of a process that has ended
+			there = x.HoldsOther()
+		case <-ctx.Done():
+		}
+	}
+	return there && !x.Failed()
 }
 
 // failure returns the update for a failure to send the request to the endpoint or to
--- a/internal/process/gateway/crash.go
+++ b/internal/process/gateway/crash.go
@@ -34,9 +34,13 @@
 // without power and an endpoint that announced its end don't count.
 func (c *crashCheck) crashed() bool { return c.reach == forward.ReachRefused && !c.leaving }
 
-// confirmsEnd reports whether a response that ended with its connection may be taken for whole:
-// the process is there, or has ended as announced.
-func (c *crashCheck) confirmsEnd() bool { return c.reach == forward.ReachOpen || c.leaving }
+// confirmsEnd reports whether the process is there, so that a response that ended with its
+// connection may be taken for whole.
+func (c *crashCheck) confirmsEnd() bool { return c.reach == forward.ReachOpen }
+
+// mayBeLeaving reports whether the process may be there although it doesn't listen any longer,
+// because it serves its last requests.
+func (c *crashCheck) mayBeLeaving() bool { return c.reach == forward.ReachRefused && c.leaving }
 
 // Times for which an endpoint must be there after the end of a response without a length, for
 // the response to be taken for whole.
--- a/internal/traffic/forward/exchange.go
+++ b/internal/traffic/forward/exchange.go
@@ -198,6 +198,10 @@
 // it had been closed in order.
 func (x *Exchange) Failed() bool { return x.conn.framed.Failed() }
 
+// HoldsOther reports whether the endpoint keeps another connection of this process open. The
+// kernel closes all connections of a process that ends, in order, within moments.
+func (x *Exchange) HoldsOther() bool { return x.pool.holdsOther(x.conn) }
+
 // Reused reports whether the connection had carried an earlier request.
 func (x *Exchange) Reused() bool { return x.conn.reused }
 
--- a/internal/traffic/forward/pool.go
+++ b/internal/traffic/forward/pool.go
@@ -14,6 +14,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"fulmardeal"
@@ -82,6 +83,8 @@
 // conn is a connection to an endpoint.
 type conn struct {
 	net.Conn
+	pool        *Pool
+	address     string
 	framed      *framing.Conn // carries the requests and responses
 	limiter     *headLimiter  // reads from framed
 	reader      *bufio.Reader // reads from limiter
@@ -95,6 +98,9 @@
 type Pool struct {
 	dialer net.Dialer
 
+	openMu sync.Mutex                // the last lock to be taken
+	open   map[string]map[*conn]bool // connections that this process has not closed, by address of the endpoint
+
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address of the endpoint; the most recently used connection is last
 	dialed int64
@@ -106,7 +112,7 @@
 // NewPool returns an empty pool and a function that closes its idle connections. What is
 // buffered of all responses together has at most maxBuffered bytes.
 func NewPool(maxBuffered int64) (*Pool, func()) {
-	p := &Pool{dialer: net.Dialer{Timeout: dialTimeout}, idle: make(map[string][]*conn), buffered: NewBudget(maxBuffered)}
+	p := &Pool{dialer: net.Dialer{Timeout: dialTimeout}, idle: make(map[string][]*conn), open: make(map[string]map[*conn]bool), buffered: NewBudget(maxBuffered)}
 	return p, p.close
 }
 
@@ -165,11 +171,46 @@
 	p.mu.Unlock()
 	f := framing.NewConn(n)
 	l := &headLimiter{Conn: f, share: p.buffered.Share(freeHeadBytes)}
-	c := &conn{Conn: n, framed: f, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
+	c := &conn{Conn: n, pool: p, address: address, framed: f, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
+	p.recordOpen(c)
 	trail.add(c)
 	return c, nil
 }
 
+func (p *Pool) recordOpen(c *conn) {
+	p.openMu.Lock()
+	defer p.openMu.Unlock()
+	if p.open[c.address] == nil {
+		p.open[c.address] = make(map[*conn]bool)
+	}
+	p.open[c.address][c] = true
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	p := c.pool
+	p.openMu.Lock()
+	delete(p.open[c.address], c)
+	if len(p.open[c.address]) == 0 {
+		delete(p.open, c.address)
+	}
+	p.openMu.Unlock()
+	return c.Conn.Close()
+}
+
+// holdsOther reports whether the endpoint keeps another connection of this process open.
+func (p *Pool) holdsOther(c *conn) bool {
+	p.openMu.Lock()
+	defer p.openMu.Unlock()
+	for other := range p.open[c.address] {
+		raw, ok := other.Conn.(syscall.Conn)
+		if ok && other != c && !connection.HungUp(raw) {
+			return true
+		}
+	}
+	return false
+}
+
 // take returns the most recently used idle connection, or nil if there is none
 // or it has been idle for too long.
 func (p *Pool) take(address string, maxIdleTime time.Duration) *conn {
