process/loader: no write of an older version takes effect after a newer one was staged

Cause: the chunk store checked which version is staged before the write, and nobody waited for writes in progress. Change: a version is staged when no write of another one is in progress, and 1.5 s after one that got no response: a sound engine may fall silent for that long. A response, also a refusal, and a refused connection leave nothing behind. Test: TestLateWriteOfOlderVersion; before: "late by 50ms, lost: false: chunk of version "2"".

--- a/internal/process/loader/chunkstore.go
+++ b/internal/process/loader/chunkstore.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
+	"syscall"
+	"time"
 
 	"fulmardeal"
 )
@@ -17,8 +20,23 @@
 	mu       sync.Mutex
 	staged   fulmardeal.Version
 	buffered []bufferedVersion
+	writes   map[fulmardeal.Version]*stagingWrites
 }
 
+// stagingWrites are the writes of a version's chunks to the engine that may not have taken
+// effect yet. They take the place of chunks of other versions when they do.
+type stagingWrites struct {
+	running int       // calls in progress
+	lost    time.Time // when a call last ended without a response
+}
+
+// lateWriteTime is how long after it got no response a write may still take effect: a sound
+// engine may fall silent for so long.
+const lateWriteTime = 1500 * time.Millisecond
+
+// settleInterval is the pause between two looks at the writes of other versions.
+const settleInterval = 10 * time.Millisecond
+
 // bufferedVersion is a version whose chunks are buffered in memory.
 type bufferedVersion struct {
 	version fulmardeal.Version
@@ -66,19 +84,88 @@
 	s.buffered = slices.DeleteFunc(s.buffered, func(b bufferedVersion) bool { return b.version == v })
 }
 
-// stage copies the buffered chunks of a version to the engine's staging area. After an
-// error, the next call continues with the chunks that have not been copied.
+// stage copies the buffered chunks of a version to the engine's staging area, once no write of
+// another version can take effect there any more. After an error, the next call continues with
+// the chunks that have not been copied.
 func (s *chunkStore) stage(ctx context.Context, v fulmardeal.Version) error {
-	for {
-		index, data, is := s.nextBuffered(v)
-		if !is {
-			return nil
-		}
-		if err := s.engine.PutChunk(ctx, v, index, data); err != nil {
+	index, data, is := s.nextBuffered(v)
+	if err := s.settle(ctx, v); err != nil {
+		return err
+	}
+	for ; is; index, data, is = s.nextBuffered(v) {
+		if err := s.write(ctx, v, index, data); err != nil {
 			return err
 		}
 		s.dropBuffered(v, index)
 	}
+	return nil
+}
+
+// settle waits until no write of another version than the staged one can take effect.
+func (s *chunkStore) settle(ctx context.Context, staged fulmardeal.Version) error {
+	for !s.settled(staged) {
+		sleep(ctx, settleInterval)
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *chunkStore) settled(staged fulmardeal.Version) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for v, w := range s.writes {
+		switch {
+		case w.running > 0 || time.Since(w.lost) < lateWriteTime:
+			if v != staged {
+				return false
+			}
+		default:
+			delete(s.writes, v)
+		}
+	}
+	return true
+}
+
+// write writes a chunk to the engine.
+func (s *chunkStore) write(ctx context.Context, v fulmardeal.Version, index int, data []byte) error {
+	s.mu.Lock()
+	w := s.beginWrite(v)
+	s.mu.Unlock()
+	return s.finishWrite(ctx, w, v, index, data)
+}
+
+// beginWrite records that a write to the engine begins. The caller holds s.mu.
+func (s *chunkStore) beginWrite(v fulmardeal.Version) *stagingWrites {
+	if s.writes == nil {
+		s.writes = make(map[fulmardeal.Version]*stagingWrites)
+	}
+	w := s.writes[v]
+	if w == nil {
+		w = &stagingWrites{}
+		s.writes[v] = w
+	}
+	w.running++
+	return w
+}
+
+func (s *chunkStore) finishWrite(ctx context.Context, w *stagingWrites, v fulmardeal.Version, index int, data []byte) error {
+	err := s.engine.PutChunk(ctx, v, index, data)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.running--
+	if err != nil && !isAnswered(err) {
+		w.lost = time.Now()
+	}
+	return err
+}
+
+// isAnswered reports whether a call failed because of the engine's response, or was not sent.
+func isAnswered(err error) bool {
+	var busy *fulmardeal.BusyError
+	var missing *fulmardeal.MissingError
+	return errors.As(err, &busy) || errors.As(err, &missing) || errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // nextBuffered returns a buffered chunk of a version, or false if there is none. From then on,
@@ -115,12 +202,13 @@
 		s.mu.Unlock()
 		return nil
 	}
-	staged := s.staged == v
-	s.mu.Unlock()
-	if !staged {
+	if s.staged != v {
+		s.mu.Unlock()
 		return &fulmardeal.MissingError{Service: "chunk store", Resource: v.String()}
 	}
-	return s.engine.PutChunk(ctx, v, index, data)
+	w := s.beginWrite(v)
+	s.mu.Unlock()
+	return s.finishWrite(ctx, w, v, index, data)
 }
 
 // Chunk returns a stored chunk, without verifying it again.
