process/loader: an order leaves time for an engine that falls silent before it takes it

Cause: an order was written if its verification was up to 2.5 s old. That leaves 0.5 s, and a sound engine may fall silent for a second or so before it takes the order. Change: 1.4 s, and 1.2 s for one verification; the rest is loaded part by part, as before. Where not even one layer can be verified in that time the former bounds hold, so that such weights are loaded.

--- a/internal/process/loader/activate.go
+++ b/internal/process/loader/activate.go
@@ -17,12 +17,17 @@
 const (
 	// maxVerifiedAge is the maximum age of a verification when the order is sent. An
 	// engine must not load a chunk that turned bad more than 3 s before it accepted the
-	// order; the rest is for the order's way.
-	maxVerifiedAge = 2500 * time.Millisecond
+	// order; the rest is for an engine that falls silent for 1.5 s before it accepts it.
+	maxVerifiedAge = 1400 * time.Millisecond
 
 	// verifyTimeout bounds one verification. What has been verified by then is loaded, so
 	// that weights that take longer to read are loaded part by part.
-	verifyTimeout = 2 * time.Second
+	verifyTimeout = 1200 * time.Millisecond
+
+	// slowVerifiedAge and slowVerifyTimeout are the same for weights of which not even one
+	// layer can be read in verifyTimeout. They leave half a second for the order's way.
+	slowVerifiedAge   = 2500 * time.Millisecond
+	slowVerifyTimeout = 2 * time.Second
 
 	// stageTimeout bounds one run of copying buffered chunks to the engine. The next run
 	// continues it.
@@ -97,7 +102,8 @@
 	}
 	verified := l.verifiedLayers(v, missing, layers)
 	if verified.to == verified.from {
-		l.log.Warn("staged chunks could not be verified in time", "version", newest.version.String(), "layers", missing.to-missing.from, "took", time.Since(started))
+		l.log.Warn("staged chunks could not be verified in time", "version", newest.version.String(), "layers", missing.to-missing.from, "took", time.Since(started), "slow", s.slowReads)
+		s.slowReads = !s.slowReads
 		return true
 	}
 	l.reportStatus(held, true)
@@ -138,9 +144,21 @@
 	return fulmardeal.Version{}
 }
 
+// maxVerifiedAge returns the maximum age of a verification when an order is sent.
+func (s *loadState) maxVerifiedAge() time.Duration {
+	if s.slowReads {
+		return slowVerifiedAge
+	}
+	return maxVerifiedAge
+}
+
 // verify reads the staged chunks of some layers back.
 func (l *Loader) verify(ctx context.Context, s *chunk.Swarm, r layerRange, layers int) *chunk.Verification {
-	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	timeout := verifyTimeout
+	if l.state.slowReads {
+		timeout = slowVerifyTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	from, to := layerChunks(r, layers, s.Manifest().Chunks())
 	return l.exchange.VerifyStored(ctx, s, from, to, l.uptime)
@@ -160,7 +178,7 @@
 	for verified.to < r.to {
 		from, to := layerChunks(layerRange{verified.to, verified.to + 1}, layers, v.Chunks())
 		at, intact := v.VerifiedAt(from, to)
-		if !intact || now-at > maxVerifiedAge {
+		if !intact || now-at > l.state.maxVerifiedAge() {
 			break
 		}
 		verified.to++
@@ -170,10 +188,10 @@
 
 // staleVerificationError reports that staged chunks were verified too long before an order
 // to load them.
-type staleVerificationError struct{ age time.Duration }
+type staleVerificationError struct{ age, limit time.Duration }
 
 func (e *staleVerificationError) Error() string {
-	return fmt.Sprintf("chunks were verified %v ago, more than %v", e.age, maxVerifiedAge)
+	return fmt.Sprintf("chunks were verified %v ago, more than %v", e.age, e.limit)
 }
 
 // order orders the engine to load layers of a version, which follow those that it holds.
@@ -184,9 +202,11 @@
 	if r.to < layers {
 		o.Layers = r.to
 	}
+	s := &l.state
+	limit := s.maxVerifiedAge()
 	o.Permit = func() error {
-		if age := l.uptime() - at; age > maxVerifiedAge {
-			return &staleVerificationError{age: age}
+		if age := l.uptime() - at; age > limit {
+			return &staleVerificationError{age: age, limit: limit}
 		}
 		return nil
 	}
@@ -204,7 +224,7 @@
 		l.log.Warn("no response to the load order", "version", d.version.String(), "err", err)
 		return true
 	}
-	s := &l.state
+	s.slowReads = false
 	s.orderedAt, s.orderedVersion, s.ordered = time.Now(), d.number, r
 	s.orderedStart, s.orderedCount = state.StartedAt, state.OrderCount
 	l.log.Info("load order sent to the engine", "version", d.version.String(), "from", r.from, "to", r.to, "layers", layers,
--- a/internal/process/loader/verification_test.go
+++ b/internal/process/loader/verification_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,12 +55,15 @@
 // while a chunk turns bad.
 type layerEngine struct {
 	t        *testing.T
-	version  string
 	readTime time.Duration
 	at       string        // when the trouble comes: index of the chunk that is read, or "order"
 	stop     time.Duration // how long the process stops
 	suspend  bool          // the instance is suspended with it
 	troubles int           // still to come
+	late     time.Duration // from an order's write until the engine takes it
+	lose     int           // orders without a response that are taken nevertheless
+	ordered  func()        // called when an order without a response has been written
+	newest   int64         // version that the engine is to hold in the end
 
 	mu           sync.Mutex
 	suspended    time.Duration // for which the monotonic clock has stood still
@@ -150,7 +154,7 @@
 
 func (e *layerEngine) holdsAll() bool {
 	s, _ := e.State(context.Background())
-	return fulmardeal.Holds(s.Spans, stagedLayers) == 2
+	return fulmardeal.Holds(s.Spans, stagedLayers) == e.newest
 }
 
 func (e *layerEngine) StartLoad(_ context.Context, o fulmardeal.LayerLoad) error {
@@ -158,13 +162,26 @@
 	if err := o.Permit(); err != nil {
 		return err
 	}
+	if e.lose > 0 {
+		e.lose--
+		time.AfterFunc(e.late, func() { _ = e.take(o) }) // the agent doesn't learn of a refusal
+		e.ordered()
+		return context.DeadlineExceeded
+	}
+	time.Sleep(e.late)
+	return e.take(o)
+}
+
+// take accepts an order or refuses it, and checks the chunks that it takes.
+func (e *layerEngine) take(o fulmardeal.LayerLoad) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if o.State.OrderCount != e.accepted || e.uptime() < e.busyUntil {
 		return &fulmardeal.RefusedOrderError{Reason: "sequence"}
 	}
+	version, _ := strconv.ParseInt(o.Version.Name, 10, 64)
 	from, to := 0, o.Layers
-	if len(e.loaded) > 0 {
+	if len(e.loaded) > 0 && e.loaded[0].Version == version {
 		from = e.loaded[0].To
 	}
 	if to == 0 {
@@ -173,13 +190,14 @@
 	for i := from * stagedChunks / stagedLayers; i < to*stagedChunks/stagedLayers; i++ {
 		if since, bad := e.badSince[i]; bad && e.uptime()-since > maxBadTime {
 			e.t.Errorf("ordered to load layers %d to %d with chunk %d, which turned bad %v before", from, to, i, e.uptime()-since)
-		} else if !bad && !bytes.Equal(e.staged[i], content(e.version, i)) {
-			e.t.Errorf("ordered to load layers %d to %d without chunk %d", from, to, i)
+		} else if !bad && !bytes.Equal(e.staged[i], content(o.Version.Name, i)) {
+			e.t.Errorf("ordered to load layers %d to %d of version %d without chunk %d", from, to, version, i)
+			break
 		}
 	}
 	e.accepted++
 	e.orders = append(e.orders, o)
-	e.loaded = []fulmardeal.Span{{From: 0, To: to, Version: 2}}
+	e.loaded = []fulmardeal.Span{{From: 0, To: to, Version: version}}
 	e.busyUntil = e.uptime() + 30*time.Millisecond
 	return nil
 }
@@ -194,10 +212,15 @@
 	l.origin = &origin{open: func(string) (fulmardeal.Origin, func()) { return s, func() {} }}
 	l.exchange = chunk.NewExchange(l.origin, l.chunks, nil, log)
 	l.exchange.SetProfile(chunk.EngineProfile(0))
-	l.applyUpdate(sharing.AgentUpdate{Targets: []catalogue.Target{{Service: "llm", Model: "m", Layers: stagedLayers, Version: 2, Since: time.Now(), Origin: "o:1", Place: "a"}}})
+	publish(l, 2)
 	return l
 }
 
+// publish tells a virtual loader of a version that has just been published.
+func publish(l *Loader, version int64) {
+	l.applyUpdate(sharing.AgentUpdate{Targets: []catalogue.Target{{Service: "llm", Model: "m", Layers: stagedLayers, Version: version, Since: time.Now(), Origin: "o:1", Place: "a"}}})
+}
+
 // A chunk that turns bad while the agent stands still between its verification and the order
 // to load it must not be loaded, and a verification that takes long must end in a load.
 func TestChunkTurnsBadBeforeLoadOrder(t *testing.T) {
@@ -213,7 +236,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := &layerOrigin{}
 				e := &layerEngine{
-					t: t, version: "2", readTime: readTime, at: f[1], stop: stop, suspend: f[3] == "suspended", troubles: troubles,
+					t: t, newest: 2, readTime: readTime, at: f[1], stop: stop, suspend: f[3] == "suspended", troubles: troubles,
 					staged: make(map[int][]byte), badSince: make(map[int]time.Duration),
 				}
 				l := newVirtualLoader(s, e)
@@ -240,3 +263,20 @@
 		return nil
 	})
 }
+
+// A layer needs each chunk that holds a part of it, also if chunks and layers don't align.
+func TestChunksOfLayers(t *testing.T) {
+	for _, layers := range []int{1, 2, 3, 7, 16, 64, 100} {
+		for _, chunks := range []int{1, 5, 7, 48, 64, 65} {
+			for from := range layers {
+				for to := from + 1; to <= layers; to++ {
+					first, end := layerChunks(layerRange{from, to}, layers, chunks)
+					wantFirst, wantEnd := math.Floor(float64(from*chunks)/float64(layers)), math.Ceil(float64(to*chunks)/float64(layers))
+					if first != int(wantFirst) || end != int(wantEnd) || end <= first || end > chunks {
+						t.Fatalf("layers %d to %d of %d, %d chunks: %d to %d, want %v to %v", from, to, layers, chunks, first, end, wantFirst, wantEnd)
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/process/loader/work.go
+++ b/internal/process/loader/work.go
@@ -59,6 +59,7 @@
 	orderedStart    time.Time // start of the engine that got the order; zero if unknown
 	orderedCount    int64     // number of orders that it had accepted before
 	ordered         layerRange
+	slowReads       bool // not even one layer could be verified in verifyTimeout
 }
 
 // reconcileLoop brings the engine to what it is to serve until the context ends. What
