process/loader: chunks that an order without a response names aren't replaced while it may be taken

Cause: an order whose response was lost left no trace. The agent went on with the next version and staged it over the chunks of the first, which the engine could still take. Change: such an order is remembered. No chunk of another version is staged until the engine's order count or start time tells what has become of it, or 4 s have passed: the call's timeout and the time for which a sound engine may fall silent. The same version may be ordered again, since the order count fences the first order. A log line and a counter tell of orders that took effect without a response.

--- a/internal/process/loader/activate.go
+++ b/internal/process/loader/activate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"fulmardeal"
@@ -88,6 +89,9 @@
 	if held != 0 && time.Now().Before(l.turn(target.Model, held).At) {
 		return true
 	}
+	if s.unanswered.pending() && s.unanswered.version != newest.number {
+		return true // the engine may still take the chunks that are staged
+	}
 	if err := l.stage(ctx, newest.version); err != nil {
 		l.log.Warn("cannot stage chunks in the engine", "version", newest.version.String(), "err", err)
 		return true
@@ -122,7 +126,7 @@
 // so that only the last chunks are left to be staged when it is whole.
 func (l *Loader) stageArriving(ctx context.Context) {
 	v := l.arriving()
-	if !l.chunks.buffers(v) {
+	if !l.chunks.buffers(v) || l.state.unanswered.pending() {
 		return
 	}
 	if err := l.stage(ctx, v); err != nil {
@@ -204,12 +208,15 @@
 	}
 	s := &l.state
 	limit := s.maxVerifiedAge()
+	var written atomic.Bool
 	o.Permit = func() error {
 		if age := l.uptime() - at; age > limit {
 			return &staleVerificationError{age: age, limit: limit}
 		}
+		written.Store(true)
 		return nil
 	}
+	begun := time.Now()
 	err := l.options.Engine.StartLoad(ctx, o)
 	var refused *fulmardeal.RefusedOrderError
 	var stale *staleVerificationError
@@ -221,10 +228,13 @@
 		l.log.Warn("load order not sent", "version", d.version.String(), "err", err)
 		return true
 	case err != nil:
-		l.log.Warn("no response to the load order", "version", d.version.String(), "err", err)
+		l.log.Warn("no response to the load order", "version", d.version.String(), "written", written.Load(), "err", err)
+		if written.Load() {
+			s.unanswered = unansweredOrder{version: d.number, layers: r, begun: begun, start: state.StartedAt, count: state.OrderCount, verified: at}
+		}
 		return true
 	}
-	s.slowReads = false
+	s.slowReads, s.unanswered = false, unansweredOrder{}
 	s.orderedAt, s.orderedVersion, s.ordered = time.Now(), d.number, r
 	s.orderedStart, s.orderedCount = state.StartedAt, state.OrderCount
 	l.log.Info("load order sent to the engine", "version", d.version.String(), "from", r.from, "to", r.to, "layers", layers,
--- a/internal/process/loader/work.go
+++ b/internal/process/loader/work.go
@@ -16,6 +16,11 @@
 	// can take several seconds.
 	orderTimeout = 10 * time.Second
 
+	// lateOrderTime is how long after an order was begun that gets no response the engine
+	// may still accept it: the order's timeout, and the time for which a sound engine may
+	// fall silent.
+	lateOrderTime = 4 * time.Second
+
 	// orderSettleTime is how long an accepted order may not show in the engine's
 	// state. Without it, an order would be sent again at once to an engine that
 	// accepts it and doesn't count it.
@@ -60,6 +65,44 @@
 	orderedCount    int64     // number of orders that it had accepted before
 	ordered         layerRange
 	slowReads       bool // not even one layer could be verified in verifyTimeout
+	unanswered      unansweredOrder
+}
+
+// unansweredOrder is an order that was written and got no response. The zero value is none.
+type unansweredOrder struct {
+	version  int64
+	layers   layerRange
+	begun    time.Time
+	start    time.Time     // start of the engine that may have got it; zero if unknown
+	count    int64         // number of orders that the engine had accepted before
+	verified time.Duration // Loader.uptime at which the chunks were verified
+}
+
+// pending reports whether the engine may still accept the order. Until then what is staged must
+// not be replaced by chunks of another version.
+func (u *unansweredOrder) pending() bool {
+	return u.version != 0 && time.Since(u.begun) < lateOrderTime
+}
+
+// settleOrder finds out what has become of an order without a response.
+func (l *Loader) settleOrder(state fulmardeal.EngineState) {
+	s := &l.state
+	u := s.unanswered
+	switch {
+	case u.version == 0:
+		return
+	case !state.StartedAt.Equal(u.start):
+		l.log.Info("engine restarted after a load order without a response", "version", u.version, "after", time.Since(u.begun))
+	case state.OrderCount > u.count:
+		verified := l.uptime() - u.verified
+		l.log.Info("load order without a response took effect", "version", u.version, "after", time.Since(u.begun), "verified", verified)
+		l.scope.Counter("orders_unanswered").Inc(1)
+		s.orderedAt, s.orderedVersion, s.ordered = u.begun, u.version, u.layers
+		s.orderedStart, s.orderedCount = u.start, u.count
+	case u.pending():
+		return
+	}
+	s.unanswered = unansweredOrder{}
 }
 
 // reconcileLoop brings the engine to what it is to serve until the context ends. What
@@ -113,6 +156,7 @@
 	if l.setHeld(held) {
 		l.wakeUp()
 	}
+	l.settleOrder(state)
 	l.announceStatus(held, state.Loading)
 	l.updateGauges(held, state.Loading)
 	busy := held != wanted.Version && l.activate(ctx, target, held, state)
