--- a/internal/process/gateway/leaving_test.go
+++ b/internal/process/gateway/leaving_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -101,8 +102,9 @@
 			e := startLeaving(t, w, "i-1", then)
 			waitFor(t, "the endpoint is listed", func() bool { return w.store.applied("registrations") })
 			time.Sleep(100 * time.Millisecond)
+			var held sync.WaitGroup
 			if then == "closes" { // another of its requests is in progress
-				go w.call("GET", "/read/hold", nil)
+				held.Go(func() { w.call("GET", "/read/hold", nil) })
 				time.Sleep(100 * time.Millisecond)
 			}
 			var first callResult
@@ -117,6 +119,7 @@
 			}
 			<-done
 			close(e.held)
+			held.Wait()
 			got := "broken"
 			switch {
 			case first.err == nil && first.status == http.StatusOK && strings.Count(first.body, "data: ") == crashEvents:
