process/gateway: tests wait until an entry is ready, not only until it knows its routes

Cause, traced: since an entry's keys count as confirmed once what was read is in force, a moment after its routes are there. The tests took an entry for started when a path without a route got 404; a request with a key in that moment gets 503, as all do before. Change: the start of an entry in these tests also waits for its readiness, which the load balancer waits for too.

--- a/internal/process/gateway/export_test.go
+++ b/internal/process/gateway/export_test.go
@@ -7,6 +7,12 @@
 	g.callerListener = wrap(g.callerListener)
 }
 
+// Ready reports whether the load balancer would send requests to this entry.
+func (g *Gateway) Ready() bool {
+	ready, _ := g.ready()
+	return ready
+}
+
 // Buffered returns how many bytes of responses and of callers' bodies are buffered.
 func (g *Gateway) Buffered() (responses, bodies int64) {
 	return g.pool.Buffer().Used(), g.bodies.Used()
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -269,7 +269,7 @@
 	})
 	t.Cleanup(w.kill)
 	for range 1000 {
-		if w.store.applied("operator") && w.store.applied("registrations") && w.call("GET", "/none/", nil).status == http.StatusNotFound {
+		if g.Ready() && w.store.applied("operator") && w.store.applied("registrations") && w.call("GET", "/none/", nil).status == http.StatusNotFound {
 			return w
 		}
 		time.Sleep(10 * time.Millisecond)
