--- a/review/standin4/main.go
+++ b/review/standin4/main.go
@@ -22,6 +22,7 @@
 	"drill":        playDrill,
 	"encoded-body": playEncodedBody,
 	"crash-part":   playCrashPart,
+	"no-tenants":   playNoTenants,
 }
 
 func main() { os.Exit(run()) }
