--- a/review/standin4/lab.go
+++ b/review/standin4/lab.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -45,6 +46,7 @@
 	servers   []*server
 	starts    int // of servers
 	processes []*process
+	closed    bool
 	closers   []func()
 }
 
@@ -53,7 +55,6 @@
 	lab      *lab
 	settings fulmardeal.Settings
 	cmd      *exec.Cmd
-	started  time.Time
 	done     chan struct{}
 	err      error // of the process, once done is closed
 }
@@ -92,13 +93,19 @@
 	fmt.Fprintf(l.record, "%8.3f s  %s\n", time.Since(l.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// close ends all that the case has started. Further calls do nothing.
 func (l *lab) close() {
-	for _, p := range l.processes {
-		p.kill()
-	}
 	l.mu.Lock()
-	servers := l.servers
+	if l.closed {
+		l.mu.Unlock()
+		return
+	}
+	l.closed = true
+	processes, servers := l.processes, l.servers
 	l.mu.Unlock()
+	for _, p := range processes {
+		p.kill()
+	}
 	for _, s := range servers {
 		s.stop()
 	}
@@ -135,9 +142,11 @@
 	}
 }
 
+var errClosed = errors.New("the case has ended")
+
 // startEntry starts an entry on host n.
 func (l *lab) startEntry(n int, dataCentre string, out io.Writer) (*process, error) {
-	p := &process{lab: l, settings: l.settings(n, dataCentre), started: time.Now(), done: make(chan struct{})}
+	p := &process{lab: l, settings: l.settings(n, dataCentre), done: make(chan struct{})}
 	file := filepath.Join(l.dir, p.settings.Name+".conf")
 	if err := os.WriteFile(file, []byte(platform.FormatSettings(p.settings)), 0o600); err != nil {
 		return nil, err
@@ -153,16 +162,23 @@
 		out = log
 	}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
-	if err := p.cmd.Start(); err != nil {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return nil, errClosed
+	}
+	err := p.cmd.Start()
+	if err == nil {
+		l.processes = append(l.processes, p)
+	}
+	l.mu.Unlock()
+	if err != nil {
 		return nil, err
 	}
 	go func() {
 		p.err = p.cmd.Wait()
 		close(p.done)
 	}()
-	l.mu.Lock()
-	l.processes = append(l.processes, p)
-	l.mu.Unlock()
 	l.note("%s started on %s", p.settings.Name, p.settings.CallerAddress)
 	return p, nil
 }
--- a/review/standin4/main.go
+++ b/review/standin4/main.go
@@ -9,6 +9,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // trouble reports whether the disruption is to be played.
@@ -38,6 +40,13 @@
 		return 2
 	}
 	defer l.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		l.close()
+		os.Exit(2)
+	}()
 	l.note("trouble: %v", trouble())
 	broken, err := plays[os.Args[1]](l)
 	if err != nil {
