--- a/review/standin4/client.go
+++ b/review/standin4/client.go
@@ -15,7 +15,6 @@
 	address string
 	conn    net.Conn
 	reader  *bufio.Reader
-	kept    bool // the connection has carried a request before
 }
 
 // reply is what a client got for a request. The error says that there was no answer, or not
@@ -24,7 +23,6 @@
 	status int // 0 if no answer began
 	header http.Header
 	body   []byte
-	kept   bool // the request was sent on a kept connection
 	err    error
 }
 
@@ -50,10 +48,9 @@
 		if err != nil {
 			return reply{err: err}
 		}
-		c.conn, c.reader, c.kept = conn, bufio.NewReader(conn), false
+		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
-	r := reply{kept: c.kept}
-	c.kept = true
+	var r reply
 	_ = c.conn.SetDeadline(time.Now().Add(7 * time.Second)) // fails only if it has been closed
 	if _, r.err = c.conn.Write(request); r.err != nil {
 		c.close()
--- a/review/standin4/crashpart.go
+++ b/review/standin4/crashpart.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strconv"
 	"strings"
@@ -10,32 +11,66 @@
 	"time"
 )
 
-// Times and parts of the case.
+// crashingPrompts is what prompts come in a case with a part that crashes servers.
+type crashingPrompts struct {
+	events     int           // that a server writes before the part crashes it
+	clients    int           // that send sound requests
+	pause      time.Duration // between two sound requests of a client
+	calm       time.Duration // before the first request with the crashing part
+	crashPause time.Duration // between two requests with the part
+	shared     int           // parts, beside the first one, that all requests have in common
+	adoption   time.Duration // from the first request with the crashing part until sound ones have its template; 0 if they had it before
+}
+
+// prefix lists the parts of a prompt: the first, the shared ones of a template, another one, and
+// the request's own.
+func (c crashingPrompts) prefix(template int, part, own string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "X-Fulmardeal-Prompt-Prefix: %s:40", sharedPart)
+	for i := range c.shared {
+		fmt.Fprintf(&b, ",%02x%04x:20", 0xa0+template, i)
+	}
+	fmt.Fprintf(&b, ",%s:100,%s:50", part, own)
+	return b.String()
+}
+
+// Times and parts of the cases.
 const (
 	contactTime  = 3 * time.Second // contactMs
-	soundTime    = 7 * time.Second // before the first request that crashes a server
 	crashesTime  = 25 * time.Second
 	crashDown    = 3 * time.Second
-	crashPause   = 300 * time.Millisecond // between two requests that crash a server
 	sharedPart   = "5c1e07a2"
 	crashingPart = "91bd3f06"
 )
 
-// eventsBeforeCrash is how many events a server writes before a part crashes it.
-func eventsBeforeCrash() int {
-	if n, err := strconv.Atoi(os.Getenv("EVENTS")); err == nil {
+// playCrashPart lets servers crash after their second event.
+func playCrashPart(l *lab) ([]string, error) {
+	return crashingPrompts{events: number("EVENTS", 2), clients: 12, pause: 50 * time.Millisecond, calm: 7 * time.Second, crashPause: 300 * time.Millisecond}.play(l)
+}
+
+// playLongPrompts lets servers crash before their first event, on prompts with many parts that no
+// entry knows yet.
+func playLongPrompts(l *lab) ([]string, error) {
+	return crashingPrompts{clients: 6, pause: time.Second, calm: 7 * time.Second, crashPause: 300 * time.Millisecond, shared: number("PARTS", 60), adoption: 2 * time.Second}.play(l)
+}
+
+// number returns the value of a variable of the environment.
+func number(name string, fallback int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
 		return n
 	}
-	return 2
+	return fallback
 }
 
-// playCrashPart sends requests with a part that crashes each server that begins to write an
-// answer on it.
-func playCrashPart(l *lab) ([]string, error) {
+// play sends requests with a part that crashes each server that begins to write an answer on it.
+func (c crashingPrompts) play(l *lab) ([]string, error) {
 	l.basicConfig()
 	var mu sync.Mutex
 	var crashes, arrivals []time.Time
-	events := eventsBeforeCrash()
+	events, template := c.events, 0
+	if c.adoption == 0 {
+		template = 1
+	}
 	stream := func(e *exchange) bool {
 		_ = e.body()
 		if !strings.Contains(e.request.Header.Get("X-Fulmardeal-Prompt-Prefix"), crashingPart) {
@@ -94,20 +129,22 @@
 	var sound []result
 	over := make(chan struct{})
 	var clients sync.WaitGroup
-	for n := range 12 {
+	for n := range c.clients {
 		clients.Go(func() {
 			for k := 0; ; k++ {
 				select {
 				case <-over:
 					return
-				case <-time.After(50 * time.Millisecond):
+				case <-time.After(c.pause/2 + rand.N(c.pause)):
 				}
-				c := client{address: entries[n%3].settings.CallerAddress}
+				caller := client{address: entries[n%3].settings.CallerAddress}
 				id := fmt.Sprintf("s%02d-%04d", n, k)
+				mu.Lock()
+				prefix := c.prefix(template, fmt.Sprintf("7e%02d", k%20), fmt.Sprintf("%02d%06d", n, k))
+				mu.Unlock()
 				sent := time.Now()
-				r := c.call(message("POST", "/verse/a", id, "k1", []byte("card"), "X-Fulmardeal-Model: daka", "X-Fulmardeal-Token-Counts: 1460,80",
-					fmt.Sprintf("X-Fulmardeal-Prompt-Prefix: %s:40,7e%02d:100,%02d%06d:50", sharedPart, k%20, n, k)))
-				c.close()
+				r := caller.call(message("POST", "/verse/a", id, "k1", []byte("card"), "X-Fulmardeal-Model: daka", "X-Fulmardeal-Token-Counts: 1460,80", prefix))
+				caller.close()
 				begun := r.status == 200 && bytes.Contains(r.body, []byte("id: "))
 				l.note("%s: status %d, begun %v, %v", id, r.status, begun, r.err)
 				mu.Lock()
@@ -117,19 +154,25 @@
 		})
 	}
 	calm := time.Now()
-	time.Sleep(soundTime)
+	time.Sleep(c.calm)
 	begin := time.Now()
+	adopt := time.AfterFunc(c.adoption, func() {
+		mu.Lock()
+		template = 1
+		mu.Unlock()
+	})
+	defer adopt.Stop()
 	for k := 0; time.Since(begin) < crashesTime; k++ {
-		time.Sleep(crashPause)
+		time.Sleep(c.crashPause)
 		if !trouble() {
 			continue
 		}
 		clients.Go(func() {
-			c := client{address: entries[k%3].settings.CallerAddress}
-			defer c.close()
+			caller := client{address: entries[k%3].settings.CallerAddress}
+			defer caller.close()
 			id := fmt.Sprintf("p-%04d", k)
-			r := c.call(message("POST", "/verse/a", id, "k1", []byte("card"), "X-Fulmardeal-Model: daka", "X-Fulmardeal-Token-Counts: 1460,80",
-				fmt.Sprintf("X-Fulmardeal-Prompt-Prefix: %s:40,%s:100,ff%06d:50", sharedPart, crashingPart, k)))
+			r := caller.call(message("POST", "/verse/a", id, "k1", []byte("card"), "X-Fulmardeal-Model: daka", "X-Fulmardeal-Token-Counts: 1460,80",
+				c.prefix(1, crashingPart, fmt.Sprintf("ff%06d", k))))
 			l.note("%s, with the part that crashes servers: status %d, %d bytes, %v", id, r.status, len(r.body), r.err)
 		})
 	}
--- a/review/standin4/main.go
+++ b/review/standin4/main.go
@@ -20,10 +20,10 @@
 type play func(l *lab) (broken []string, err error)
 
 var plays = map[string]play{
-	"log-reader":   playLogReader,
 	"drill":        playDrill,
 	"encoded-body": playEncodedBody,
 	"crash-part":   playCrashPart,
+	"long-prompts": playLongPrompts,
 	"no-tenants":   playNoTenants,
 }
 
