process/gateway: an empty list of customers requires keys, and so does a lost one

Cause: whether keys are required was read off the number of customers. The decoder made no difference between an empty list and none, and our encoder and net/rpc between entries leave an empty list out.

Ruled out: late reading, and the age of the keys.

Change: a configuration says itself that it lists its customers. Once one has, keys stay required, also under one without the list: the newest configuration alone can't tell an entry that starts later, so one record in the entries' topic keeps it, and an entry with a configuration without a list isn't ready before it has read that topic. Log, dump, gauge and the preview of routes say it.

TestPreviewRouteServices sets the history that an entry has read by then; its checks are unchanged.

--- a/internal/fleet/catalogue/table.go
+++ b/internal/fleet/catalogue/table.go
@@ -34,6 +34,9 @@
 	keys         map[string]*fulmardeal.Customer // customers by bearer key
 	outOfService []string                        // data centres that are out of service
 	published    map[string][]PublishedVersion   // by model, its published versions, oldest first
+
+	keyed        bool // a configuration listed its customers
+	historyKnown bool // whether an earlier configuration did is known
 }
 
 // Table holds the newest desired state. The zero value is an empty table. A Table is
@@ -68,11 +71,14 @@
 	return &View{}
 }
 
+// EventConfiguration is the kind of an event by which a configuration comes into force.
+const EventConfiguration = "configuration"
+
 // Event is a change of the desired state.
 type Event struct {
-	Kind    string // "configuration", "version", "out" (of service) or "back" (in service)
+	Kind    string // EventConfiguration, "version", "out" (of service) or "back" (in service)
 	Name    string // name of the model for "version", of the data centre for "out" and "back"
-	Version int64  // version of the weights for "version", of the configuration for "configuration"
+	Version int64  // version of the weights for "version", of the configuration for EventConfiguration
 }
 
 // Apply applies a batch of changes and returns the events that result. A stale read
@@ -136,6 +142,16 @@
 	return true
 }
 
+// ApplyHistory applies what the store says of earlier configurations: whether one of them
+// listed its customers.
+func (t *Table) ApplyHistory(keyed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := *t.View()
+	next.keyed, next.historyKnown = next.keyed || keyed, true
+	t.view.Store(&next)
+}
+
 // Target is the version of weights that the engines of one service are to serve.
 // It is all that an agent needs from the configuration.
 type Target struct {
@@ -182,7 +198,7 @@
 			return nil
 		}
 		v.index(c.Catalogue)
-		return []Event{{Kind: "configuration", Version: c.Catalogue.Version}}
+		return []Event{{Kind: EventConfiguration, Version: c.Catalogue.Version}}
 	case c.Naming != nil:
 		if c.Naming.Version <= v.PublishedVersion(c.Naming.Model).Version {
 			return nil
@@ -226,6 +242,7 @@
 
 func (v *View) index(c *fulmardeal.Catalogue) {
 	v.catalogue = c
+	v.keyed = v.keyed || c.Keyed || len(c.Customers) > 0
 	v.hosts = make(map[string][]*fulmardeal.Route)
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -266,8 +283,17 @@
 	return nil
 }
 
-// RequiresKey reports whether requests have to carry a customer's key.
-func (v *View) RequiresKey() bool { return v.catalogue != nil && len(v.catalogue.Customers) > 0 }
+// RequiresKey reports whether requests have to carry a customer's key. They do once a
+// configuration has listed its customers: a later one without customers has taken their keys
+// away, and must not let everybody in. Operators open a route by making it public.
+func (v *View) RequiresKey() bool { return v.keyed }
+
+// AccessKnown reports whether it is known if requests have to carry a key. A configuration
+// that doesn't list customers leaves that to earlier ones.
+func (v *View) AccessKnown() bool { return v.keyed || v.historyKnown }
+
+// KeyCount returns the number of keys that are accepted.
+func (v *View) KeyCount() int { return len(v.keys) }
 
 // Customer returns the customer that holds a key, or nil when the key is empty or
 // unknown.
--- a/internal/fleet/catalogue/table_test.go
+++ b/internal/fleet/catalogue/table_test.go
@@ -44,6 +44,33 @@
 		}
 		c.Customers = []fulmardeal.Customer{{Name: "c" + words[2], Keys: []string{"k" + words[2]}}}
 		apply(fulmardeal.Change{Key: "config", Offset: fulmardeal.Position(number(1)), Catalogue: c})
+	case "customers": // OFFSET VERSION absent|empty|NAME=KEY,KEY...
+		c := &fulmardeal.Catalogue{Version: number(2), Keyed: words[3] != "absent"}
+		for _, w := range words[3:] {
+			if name, keys, is := strings.Cut(w, "="); is {
+				c.Customers = append(c.Customers, fulmardeal.Customer{Name: name, Keys: strings.Split(keys, ",")})
+			}
+		}
+		apply(fulmardeal.Change{Key: "config", Offset: fulmardeal.Position(number(1)), Catalogue: c})
+	case "unmarked": // OFFSET VERSION NAME=KEY: from a relay that doesn't know the field Keyed
+		name, key, _ := strings.Cut(words[3], "=")
+		c := &fulmardeal.Catalogue{Version: number(2), Customers: []fulmardeal.Customer{{Name: name, Keys: []string{key}}}}
+		apply(fulmardeal.Change{Key: "config", Offset: fulmardeal.Position(number(1)), Catalogue: c})
+	case "history": // true|false
+		table.ApplyHistory(words[1] == "true")
+	case "access?": // keyed|open|unknown
+		got := "unknown"
+		if v.RequiresKey() {
+			got = "keyed"
+		} else if v.AccessKnown() {
+			got = "open"
+		}
+		return same(got, words[1])
+	case "holder?": // KEY NAME|none
+		if c := v.Customer(words[1]); c != nil {
+			return same(c.Name, words[2])
+		}
+		return same("none", words[2])
 	case "named": // OFFSET MODEL VERSION
 		apply(fulmardeal.Change{Key: "version/" + words[2], Offset: fulmardeal.Position(number(1)), Naming: &fulmardeal.Publication{Model: words[2], Version: number(3)}})
 	case "late": // OFFSET MODEL VERSION AGE, published up to AGE seconds ago
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -108,6 +108,7 @@
 type Store interface {
 	sharing.Announcer
 	PutQuarantine(ctx context.Context, q fulmardeal.Quarantine) error
+	PutKeyed(ctx context.Context) error
 	Operator() fulmardeal.Feed
 	Registrations() fulmardeal.Feed
 	Entries() fulmardeal.Feed
@@ -161,6 +162,7 @@
 	leaving           atomic.Bool
 	requestsEnd       atomic.Pointer[time.Time] // when requests in progress are ended; nil unless leaving
 	configured        atomic.Pointer[time.Time] // when operators' changes last took effect; nil if never
+	keyedStored       atomic.Bool               // the store says that keys are required
 
 	crashes    crashChecks
 	quarantine *quarantine.Table
@@ -198,7 +200,7 @@
 	cleanups = append(cleanups, g.openBudgets(o.LimitHeap))
 	address := net.JoinHostPort(o.Settings.IP, itoa(o.Settings.PortRange[0]))
 	mesh, closeMesh, err := sharing.NewMesh(sharing.Options{
-		Name: o.Settings.Name, DataCentre: o.Settings.DataCentre, Regions: o.Settings.Regions, Listen: address, Table: g.table, Quarantine: g.quarantine, EntryFeed: o.Store.Entries(), Announcer: o.Store,
+		Name: o.Settings.Name, DataCentre: o.Settings.DataCentre, Regions: o.Settings.Regions, Listen: address, Table: g.table, Quarantine: g.quarantine, EntryFeed: o.Store.Entries(), Announcer: o.Store, Keyed: g.applyKeyed,
 		Targets: func() []catalogue.Target { return g.catalogue.View().Targets() }, Agents: g.agents, AgentPort: uint16(o.Settings.PortRange[0]), Log: o.Log, Faults: g.faults,
 	})
 	if err != nil {
@@ -308,9 +310,11 @@
 	}
 	if len(events) > 0 {
 		g.configured.Store(&now)
-		if c := g.catalogue.View().Catalogue(); c != nil {
+		view := g.catalogue.View()
+		if c := view.Catalogue(); c != nil {
 			g.callerConns.setLimits(c.Limits)
 		}
+		g.logAccess(view, events)
 		g.refreshTable(now)
 		g.mesh.UpdateAgents()
 	}
@@ -381,6 +385,7 @@
 	group.Go(func() error { return g.mesh.Run(work) })
 	group.Go(func() error { g.tick(work); return nil })
 	group.Go(func() error { g.storeQuarantines(work); return nil })
+	group.Go(func() error { g.storeKeyed(work); return nil })
 	group.Go(func() error {
 		return monitor.Serve(work, g.metricsAddress, g.ledger, g.capacity.Conns(ledger.MonitorFraction), g.stats.reporter, g.dump, g.dumpWriter,
 			monitor.Path{Name: RoutePath, Serve: g.serveRoute})
@@ -467,7 +472,7 @@
 	switch {
 	case g.leaving.Load():
 		return false, "leaving"
-	case !known || !listed || g.catalogue.View().Catalogue() == nil:
+	case !known || !listed || g.catalogue.View().Catalogue() == nil || !g.catalogue.View().AccessKnown():
 		return false, "starting"
 	case age > maxReadyStoreAge:
 		return false, "store silent"
@@ -483,10 +488,3 @@
 	// A failed write means that the load balancer has closed the connection.
 	_, _ = w.Write([]byte(reason + "\n"))
 }
-
-// keysConfirmed reports whether the customers' keys were confirmed by the store
-// recently enough to be accepted, and how long ago.
-func (g *Gateway) keysConfirmed() (time.Duration, bool) {
-	age, known := g.operator.Age()
-	return age, known && age < g.settings.Bounds.KeyRevocation-revokeMargin
-}
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -138,6 +138,11 @@
 	return nil
 }
 
+func (m *memStore) PutKeyed(context.Context) error {
+	m.put("entries", fulmardeal.Change{Key: "keys/required", Keyed: true})
+	return nil
+}
+
 func (m *memStore) Announce(_ context.Context, name, address, dataCentre string) error {
 	m.put("entries", fulmardeal.Change{Key: name, Address: address, DataCentre: dataCentre})
 	return nil
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -152,7 +152,14 @@
 // of the configuration as the route.
 func (c *call) authorize(view *catalogue.View) bool {
 	g := c.gateway
-	if !view.RequiresKey() || c.route.Public {
+	if c.route.Public {
+		return true
+	}
+	if !view.AccessKnown() {
+		c.refuse(http.StatusServiceUnavailable, "access unknown", retryAfterStartup)
+		return false
+	}
+	if !view.RequiresKey() {
 		return true
 	}
 	if age, ok := g.keysConfirmed(); !ok {
--- a/internal/process/gateway/route.go
+++ b/internal/process/gateway/route.go
@@ -153,7 +153,7 @@
 		return p
 	}
 	p.Route, c.rank, c.homeRegions = c.route.Name, c.route.Priority, [][]string{c.route.Homes}
-	if view.RequiresKey() && !c.route.Public {
+	if !c.route.Public {
 		if p.Status, p.Unresolved = g.previewCustomer(view, c, q.customer); p.Status != 0 {
 			return p
 		}
@@ -195,9 +195,18 @@
 // previewCustomer sets the customer with a name as authorize does with that of a key, or
 // returns the status and reason of the refusal.
 func (g *Gateway) previewCustomer(view *catalogue.View, c *call, name string) (int, string) {
+	if !view.AccessKnown() {
+		return http.StatusServiceUnavailable, "whether callers need keys is not known yet"
+	}
+	if !view.RequiresKey() {
+		return 0, ""
+	}
 	if age, ok := g.keysConfirmed(); !ok {
 		return http.StatusServiceUnavailable, fmt.Sprintf("customer keys not confirmed by the store for %v", age.Round(time.Millisecond))
 	}
+	if view.KeyCount() == 0 {
+		return http.StatusUnauthorized, "no customer has a key"
+	}
 	if name == "" {
 		return http.StatusUnauthorized, fmt.Sprintf("route %q needs a customer, and none is given", c.route.Name)
 	}
--- a/internal/process/gateway/route_test.go
+++ b/internal/process/gateway/route_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,6 +21,7 @@
 		{Name: "far", Host: "h", Prefix: "/far/", Shares: shares[:1], Homes: []string{"q"}},
 	}}
 	g.catalogue.Apply(time.Now(), feed.Batch{Changes: []fulmardeal.Change{{Key: "config", Offset: 1, Catalogue: c}}})
+	g.catalogue.ApplyHistory(false)
 	g.table.Refresh(time.Now(), []fulmardeal.Registration{{ID: "i", Service: "old", Address: "10.0.0.1:1", DataCentre: "a", Slots: 4}}, g.catalogue.View())
 
 	p := g.previewRoute(time.Now(), routeQuery{host: "H:8000", path: "/split/1", deadline: time.Second})
@@ -39,3 +42,33 @@
 		t.Errorf("services %+v, want none in the home region", p.Services)
 	}
 }
+
+// The preview of a route must say of callers' keys what the entry does.
+func TestPreviewRouteWithoutKeys(t *testing.T) {
+	routes := []fulmardeal.Route{{Name: "order", Host: "h", Prefix: "/"}, {Name: "news", Host: "h", Prefix: "/news/", Public: true}}
+	for _, c := range []struct {
+		catalogue  fulmardeal.Catalogue
+		history    []bool
+		status     int
+		unresolved string
+	}{
+		{fulmardeal.Catalogue{}, nil, http.StatusServiceUnavailable, "not known yet"},
+		{fulmardeal.Catalogue{}, []bool{false}, 0, ""},
+		{fulmardeal.Catalogue{}, []bool{true}, http.StatusServiceUnavailable, "not confirmed"}, // no read of the store here
+		{fulmardeal.Catalogue{Keyed: true}, []bool{false}, http.StatusServiceUnavailable, "not confirmed"},
+	} {
+		g := &Gateway{table: dispatch.New(dispatch.Options{}), operator: feed.New(feed.Options{})}
+		c.catalogue.Version, c.catalogue.Routes = 1, routes
+		g.catalogue.Apply(time.Now(), feed.Batch{Changes: []fulmardeal.Change{{Key: "config", Offset: 1, Catalogue: &c.catalogue}}})
+		for _, keyed := range c.history {
+			g.catalogue.ApplyHistory(keyed)
+		}
+		p := g.previewRoute(time.Now(), routeQuery{host: "h", path: "/1"})
+		if p.Status != c.status || !strings.Contains(p.Unresolved, c.unresolved) {
+			t.Errorf("keyed %t, history %v: %d %q, want %d %q", c.catalogue.Keyed, c.history, p.Status, p.Unresolved, c.status, c.unresolved)
+		}
+		if p := g.previewRoute(time.Now(), routeQuery{host: "h", path: "/news/1"}); p.Status != 0 {
+			t.Errorf("public route, keyed %t, history %v: %d %q", c.catalogue.Keyed, c.history, p.Status, p.Unresolved)
+		}
+	}
+}
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -21,6 +21,7 @@
 	s := g.stats.scope
 	s.Gauge("version").Update(float64(g.catalogue.View().Version()))
 	s.Gauge("store_age_seconds").Update(age.Seconds())
+	s.Gauge("keys").Update(float64(g.catalogue.View().KeyCount()))
 	s.Gauge("endpoints").Update(float64(endpoints))
 	s.Gauge("waiting").Update(float64(waiting))
 	s.Gauge("entries").Update(float64(1 + g.mesh.PeerCount()))
@@ -59,6 +60,8 @@
 	Version   int64                    `json:"version"`
 	Age       string                   `json:"age"` // time since the last successful read of the store, or "never"
 	Ready     string                   `json:"ready"`
+	Access    string                   `json:"access"` // whether callers need keys
+	Keys      int                      `json:"keys"`   // that are accepted
 	Targets   []catalogue.Target       `json:"targets"`
 	Endpoints []dispatch.EndpointState `json:"endpoints"`
 
@@ -74,6 +77,7 @@
 	_, reason := g.ready()
 	s := State{
 		Name: g.settings.Name, Version: g.catalogue.View().Version(), Age: "never", Ready: reason,
+		Access: access(g.catalogue.View()), Keys: g.catalogue.View().KeyCount(),
 		Targets: g.catalogue.View().Targets(), Endpoints: g.table.EndpointStates(time.Now()),
 		Egress: g.table.EgressStates(), Quarantines: g.quarantine.Quarantines(), Ledger: g.ledger.State(),
 	}
--- a/internal/traffic/sharing/mesh.go
+++ b/internal/traffic/sharing/mesh.go
@@ -107,11 +107,12 @@
 	Listen     string            // host and port of this entry
 	Table      *dispatch.Table
 	Quarantine *quarantine.Table // nil if evidence isn't shared
-	EntryFeed  fulmardeal.Feed   // yields the announcements of entries, and quarantines
+	EntryFeed  fulmardeal.Feed   // yields the announcements of entries, quarantines, and whether keys are required
 	Announcer  Announcer
 	Targets    func() []catalogue.Target // what the engines are to serve
 	Agents     func() []Agent            // all agents known to this entry
 	AgentPort  uint16                    // UDP port on which agents listen for updates
+	Keyed      func(stored bool)         // called when the list has been read, with whether it says that keys are required; may be nil
 	Log        *slog.Logger
 	Faults     *feed.FaultLog // for records of EntryFeed; nil if they are not logged
 }
@@ -429,6 +430,9 @@
 		return err
 	}
 	m.options.Faults.Record(feedEntries, changes)
+	if m.options.Keyed != nil {
+		m.options.Keyed(slices.ContainsFunc(changes, func(c fulmardeal.Change) bool { return c.Keyed }))
+	}
 	for _, c := range changes {
 		if c.Quarantine != nil && m.options.Quarantine != nil {
 			m.options.Quarantine.Apply(time.Now(), *c.Quarantine)
--- a/pool.go
+++ b/pool.go
@@ -107,6 +107,10 @@
 	Services  []Service
 	Customers []Customer
 	Limits    Limits
+
+	// Keyed tells that the configuration lists its customers, even if the list is empty. The
+	// length of Customers can't tell: encodings that leave out empty lists lose it on the way.
+	Keyed bool
 }
 
 // Service returns the service with the given name, or nil.
@@ -225,8 +229,8 @@
 func (p Position) Offset() int64 { return int64(p) & (1<<positionOffsetBits - 1) }
 
 // Change is one decoded record of a feed. Catalogue, Registration, Evacuation,
-// Naming, Address (with DataCentre), Quarantine and Fault are alternatives; none of them is
-// set if the key was deleted.
+// Naming, Address (with DataCentre), Quarantine, Keyed and Fault are alternatives; none of
+// them is set if the key was deleted.
 //
 // Relays send changes to other entries by net/rpc, so the names of the exported
 // fields of Change and of all types within it are part of the wire format.
@@ -241,6 +245,7 @@
 	Address      string // address of an entry's internal listener
 	DataCentre   string // data centre of the entry at Address
 	Quarantine   *Quarantine
+	Keyed        bool  // some configuration listed its customers
 	Fault        error // reason why the record can't be decoded; such a record has no effect
 
 	// Awaited tells that the store had no such record when it got the call that read it,
