fleet/catalogue: keys that name no single customer are not accepted

A key that customers of two names hold was accepted for the one listed last, and one of a customer without a name with no name at all, so that an endpoint took its requests for those of a public route.

Cause: the index of keys was overwritten by the last customer.

Two lines of the catalogue's TestScript failed before: "holder? k2 none: got b" and "holder? k1 none: got" a customer without a name. They pass now.

--- a/internal/fleet/catalogue/table.go
+++ b/internal/fleet/catalogue/table.go
@@ -35,6 +35,7 @@
 	outOfService []string                        // data centres that are out of service
 	published    map[string][]PublishedVersion   // by model, its published versions, oldest first
 
+	refusedKeys  int  // keys of the configuration that are not accepted
 	keyed        bool // a configuration listed its customers
 	historyKnown bool // whether an earlier configuration did is known
 }
@@ -252,12 +253,32 @@
 	for _, list := range v.hosts {
 		slices.SortStableFunc(list, func(a, b *fulmardeal.Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	v.keys = make(map[string]*fulmardeal.Customer)
-	for i := range c.Customers {
-		for _, k := range c.Customers[i].Keys {
-			v.keys[k] = &c.Customers[i]
+	v.keys, v.refusedKeys = keysOf(c.Customers)
+}
+
+// keysOf returns the customers by key, and the number of keys that are not accepted. An endpoint learns a request's customer by name only, so
+// the keys of a customer without a name are not accepted, nor is a key that customers of
+// different names hold: one of them would be served as the other.
+func keysOf(customers []fulmardeal.Customer) (keys map[string]*fulmardeal.Customer, refused int) {
+	keys = make(map[string]*fulmardeal.Customer)
+	ambiguous := make(map[string]bool)
+	for i := range customers {
+		c := &customers[i]
+		for _, k := range c.Keys {
+			if k == "" || c.Name == "" {
+				refused++
+				continue
+			}
+			if other := keys[k]; other != nil && other.Name != c.Name {
+				ambiguous[k] = true
+			}
+			keys[k] = c
 		}
 	}
+	for k := range ambiguous {
+		delete(keys, k)
+	}
+	return keys, refused + len(ambiguous)
 }
 
 // Catalogue returns the configuration in force, or nil when there is none yet.
@@ -295,6 +316,10 @@
 // KeyCount returns the number of keys that are accepted.
 func (v *View) KeyCount() int { return len(v.keys) }
 
+// RefusedKeys returns the number of keys that are listed but not accepted, since they name no
+// single customer.
+func (v *View) RefusedKeys() int { return v.refusedKeys }
+
 // Customer returns the customer that holds a key, or nil when the key is empty or
 // unknown.
 func (v *View) Customer(key string) *fulmardeal.Customer {
--- a/internal/fleet/catalogue/table_test.go
+++ b/internal/fleet/catalogue/table_test.go
@@ -66,6 +66,8 @@
 			got = "open"
 		}
 		return same(got, words[1])
+	case "refused?": // KEYS
+		return same(int64(v.RefusedKeys()), number(1))
 	case "holder?": // KEY NAME|none
 		if c := v.Customer(words[1]); c != nil {
 			return same(c.Name, words[2])
--- a/internal/process/gateway/access.go
+++ b/internal/process/gateway/access.go
@@ -61,7 +61,11 @@
 	if !slices.ContainsFunc(events, func(e catalogue.Event) bool { return e.Kind == catalogue.EventConfiguration }) {
 		return
 	}
-	switch c := view.Catalogue(); {
+	c := view.Catalogue()
+	if n := view.RefusedKeys(); n > 0 {
+		g.log.Warn("keys that name no single customer are not accepted", "version", c.Version, "keys", n)
+	}
+	switch {
 	case view.RequiresKey() && view.KeyCount() == 0:
 		g.log.Warn("no customer has a key; only public routes are served", "version", c.Version, "listed", c.Keyed, "customers", len(c.Customers))
 	default:
