fleet/catalogue: only the deletion of its own record ends an evacuation

The deletion of another record, for example of a model that has a data centre's name ("version/z"), put the data centre back into service, and endpoints there got requests again.

Cause: the end of the deleted key was compared with the names of the data centres. The catalogue now keeps the key of the record that took each one out.

--- a/internal/fleet/catalogue/table.go
+++ b/internal/fleet/catalogue/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -32,7 +33,7 @@
 	catalogue    *fulmardeal.Catalogue
 	hosts        map[string][]*fulmardeal.Route  // routes by lower-case host; those of a host with the longest path prefix first
 	keys         map[string]*fulmardeal.Customer // customers by bearer key
-	outOfService []string                        // data centres that are out of service
+	outOfService map[string]string               // data centres that are out of service, with the keys of the records that say so
 	published    map[string][]PublishedVersion   // by model, its published versions, oldest first
 
 	refusedKeys  int  // keys of the configuration that are not accepted
@@ -94,7 +95,8 @@
 	}
 	old := t.View()
 	next := *old
-	next.outOfService = slices.Clone(old.outOfService)
+	next.outOfService = make(map[string]string, len(old.outOfService))
+	maps.Copy(next.outOfService, old.outOfService)
 	next.published = make(map[string][]PublishedVersion, len(old.published))
 	for model, versions := range old.published {
 		next.published[model] = versions
@@ -209,35 +211,35 @@
 		v.published[c.Naming.Model] = append(slices.Clone(list), PublishedVersion{Version: c.Naming.Version, Since: since})
 		return []Event{{Kind: "version", Name: c.Naming.Model, Version: c.Naming.Version}}
 	case c.Evacuation != "":
-		if slices.Contains(v.outOfService, c.Evacuation) {
+		if v.IsOutOfService(c.Evacuation) {
 			return nil
 		}
-		v.outOfService = append(v.outOfService, c.Evacuation)
+		v.outOfService[c.Evacuation] = c.Key
 		return []Event{{Kind: "out", Name: c.Evacuation}}
 	case c.Gone:
-		return v.restore(func(dataCentre string) bool { return strings.HasSuffix(c.Key, "/"+dataCentre) })
+		return v.restore(func(key string) bool { return key == c.Key })
 	}
 	return nil
 }
 
-// restore puts the data centres whose names match back into service.
-func (v *View) restore(match func(string) bool) []Event {
+// restore puts the data centres back into service for which the key of the record that took
+// them out matches.
+func (v *View) restore(match func(key string) bool) []Event {
 	var events []Event
-	v.outOfService = slices.DeleteFunc(v.outOfService, func(dataCentre string) bool {
-		if match(dataCentre) {
+	for _, dataCentre := range slices.Sorted(maps.Keys(v.outOfService)) {
+		if match(v.outOfService[dataCentre]) {
+			delete(v.outOfService, dataCentre)
 			events = append(events, Event{Kind: "back", Name: dataCentre})
-			return true
 		}
-		return false
-	})
+	}
 	return events
 }
 
 // restoreUnlisted puts the data centres that a full read of the store no longer
 // lists as out of service back into service.
 func (v *View) restoreUnlisted(listed []fulmardeal.Change) []Event {
-	return v.restore(func(dataCentre string) bool {
-		return !slices.ContainsFunc(listed, func(c fulmardeal.Change) bool { return c.Evacuation == dataCentre })
+	return v.restore(func(key string) bool {
+		return !slices.ContainsFunc(listed, func(c fulmardeal.Change) bool { return c.Evacuation != "" && c.Key == key })
 	})
 }
 
@@ -331,7 +333,10 @@
 
 // IsOutOfService reports whether the data centre called name is out of service and
 // must get no requests.
-func (v *View) IsOutOfService(name string) bool { return slices.Contains(v.outOfService, name) }
+func (v *View) IsOutOfService(name string) bool {
+	_, out := v.outOfService[name]
+	return out
+}
 
 // assumedVersionAge is how long before the start of this process a version is taken to
 // have been published if it is already there at the first read, because its real
