process/gateway: a weight of 0 keeps all requests from a service

Cause: the last service was the fallback for rounding and for a total of 0 alike. The fallback is now the last one that has a weight; without one the request is refused at once, as for a service without endpoints.

TestServiceWithoutWeightGetsNoRequest ("a" for a weight of 0) and TestRouteWithoutWeightIsRefusedAtOnce (200, one run) failed before.

--- a/internal/process/gateway/access_test.go
+++ b/internal/process/gateway/access_test.go
@@ -35,3 +35,18 @@
 		t.Errorf("the added entry answers %d to a key that was taken away", status)
 	}
 }
+
+// A request of a route whose services have no weight is refused at once, as one that hasn't run.
+func TestRouteWithoutWeightIsRefusedAtOnce(t *testing.T) {
+	w := startGateway(t, func(w *testGateway) {
+		c := catalogue(2)
+		c.Routes[1].Shares = []fulmardeal.Share{{Service: "shop"}}
+		w.configure(c)
+		w.endpoint("i-1", "shop", "a", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) })
+	})
+	start := time.Now()
+	r := w.call("POST", "/order/1", nil)
+	if took := time.Since(start); r.status != http.StatusServiceUnavailable || took > 200*time.Millisecond || w.runs(r.id) != 0 {
+		t.Errorf("status %d after %v, %d runs", r.status, took, w.runs(r.id))
+	}
+}
--- a/internal/process/gateway/handle.go
+++ b/internal/process/gateway/handle.go
@@ -212,14 +212,15 @@
 
 // pickService picks one of a route's services, each with a probability
 // proportional to its weight. The choice depends only on a hash of the caller's
-// attempt id, so that all entries pick the same service for the same id.
+// attempt id, so that all entries pick the same service for the same id. It returns an empty
+// name if no service has a weight: a weight of 0 keeps all requests from a service.
 func pickService(shares []fulmardeal.Share, attempt string) string {
-	if len(shares) == 0 {
-		return ""
-	}
-	total := 0.0
+	total, last := 0.0, ""
 	for _, s := range shares {
 		total += max(0, s.Weight)
+		if s.Weight > 0 {
+			last = s.Service
+		}
 	}
 	remaining := hashFraction(attempt) * total
 	for _, s := range shares {
@@ -228,7 +229,7 @@
 			return s.Service
 		}
 	}
-	return shares[len(shares)-1].Service
+	return last // of a fraction that rounding has made 1
 }
 
 // handleReserveError handles a request for which no endpoint could be reserved.
--- a/internal/process/gateway/route_test.go
+++ b/internal/process/gateway/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -72,3 +73,26 @@
 		}
 	}
 }
+
+// A service with the weight 0 must get no request, also if no other service has a weight.
+func TestServiceWithoutWeightGetsNoRequest(t *testing.T) {
+	share := func(service string, weight float64) fulmardeal.Share {
+		return fulmardeal.Share{Service: service, Weight: weight}
+	}
+	for _, c := range []struct {
+		shares []fulmardeal.Share
+		want   string
+	}{
+		{nil, ""},
+		{[]fulmardeal.Share{share("a", 0)}, ""},
+		{[]fulmardeal.Share{share("a", 0), share("b", -1)}, ""},
+		{[]fulmardeal.Share{share("a", 1), share("b", 0)}, "a"},
+		{[]fulmardeal.Share{share("b", 0), share("a", 1e-9), share("b", -1)}, "a"},
+	} {
+		for i := range 1000 {
+			if got := pickService(c.shares, strconv.Itoa(i)); got != c.want {
+				t.Fatalf("%v: %q for id %d, want %q", c.shares, got, i, c.want)
+			}
+		}
+	}
+}
