process/operator: the dry run says whose keys a change takes away

A change that removes customers, or replaces their keys, printed "nothing would move" in the dry run, also when it leaves nobody with a key. Effects compared only customers that are there afterwards. On this interface an empty list has always refused every request, so nothing else changes.

--- a/internal/fleet/configuration/configuration.go
+++ b/internal/fleet/configuration/configuration.go
@@ -92,6 +92,9 @@
 // Name returns the customer's name.
 func (c Customer) Name() string { return c.name }
 
+// KeyHash returns the SHA-256 of the customer's bearer key.
+func (c Customer) KeyHash() string { return c.key }
+
 // Labels returns the customer's labels, including its name as "customer".
 func (c Customer) Labels() label.Set { return c.labels }
 
--- a/internal/process/operator/effects.go
+++ b/internal/process/operator/effects.go
@@ -13,7 +13,7 @@
 
 // Effect is one effect of a configuration change.
 type Effect struct {
-	Kind   string `json:"kind"` // replica, traffic, budget or datacentre
+	Kind   string `json:"kind"` // replica, traffic, budget, customer, access or datacentre
 	Name   string `json:"name"`
 	Detail string `json:"what"`
 }
@@ -31,6 +31,7 @@
 	out = append(out, dataCentreEffects(before, after)...)
 	out = append(out, replicaEffects(before, after, members)...)
 	out = append(out, customerEffects(before, after, members)...)
+	out = append(out, keyEffects(before, after)...)
 	return out
 }
 
@@ -105,6 +106,23 @@
 	return out
 }
 
+// keyEffects returns whose keys a change takes away. With the last one, nobody is served.
+func keyEffects(before, after *configuration.Configuration) []Effect {
+	var out []Effect
+	for _, old := range before.Customers() {
+		switch c, known := after.Customer(old.Name()); {
+		case !known:
+			out = append(out, Effect{Kind: "customer", Name: old.Name(), Detail: "is removed, its key refused"})
+		case c.KeyHash() != old.KeyHash():
+			out = append(out, Effect{Kind: "customer", Name: old.Name(), Detail: "has another key, the old one is refused"})
+		}
+	}
+	if len(before.Customers()) > 0 && len(after.Customers()) == 0 {
+		out = append(out, Effect{Kind: "access", Name: "callers", Detail: "nobody has a key, every request is refused"})
+	}
+	return out
+}
+
 // countReachable returns the number of endpoints that a customer's requests may be
 // routed to.
 func countReachable(c *configuration.Configuration, x configuration.Customer, members []membership.Member) int {
