process/gateway: a response with a content encoding is not the endpoint's answer

Cause: only streams were checked. Every response that would be passed on is checked now, failures and empty values of the header too; the request is tried elsewhere if it may be, else answered 502. A refusal's promise stands in its head and still counts.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -147,6 +147,9 @@
 	case !r.NotRun && promisesNotRun(x.Status()) && c.route.Kind != fulmardeal.KindIdempotent:
 		c.log.Warn("endpoint refused the request without a guarantee that it has not run", "endpoint", e.ID(), "status", x.Status())
 		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
+	case isEncoded(x.Header()):
+		c.log.Warn("response has an encoding", "endpoint", e.ID(), "status", x.Status(), "encoding", strings.Join(x.Header()[headerContentEncoding], ","))
+		return update{result: maybeRun, outcome: dispatch.OutcomeFailed}
 	case x.Status()/100 == 2 && c.route.Kind == fulmardeal.KindStream:
 		return a.readStream(ctx, x, r)
 	case a.resumed: // the caller has got a part of a stream: nothing but its rest may follow
--- a/internal/process/gateway/match.go
+++ b/internal/process/gateway/match.go
@@ -18,6 +18,12 @@
 	return r.AttemptID != "" || !r.NotRun || status == http.StatusBadRequest
 }
 
+const headerContentEncoding = "Content-Encoding"
+
+// isEncoded reports whether a response has a content encoding. Callers ask for none, so its
+// body is not that of an endpoint, whatever the encoding.
+func isEncoded(h http.Header) bool { return len(h[headerContentEncoding]) > 0 }
+
 // promisesNotRun reports whether a status tells the caller that its request has not run
 // and never will.
 func promisesNotRun(status int) bool {
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -87,8 +87,6 @@
 	switch {
 	case !strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream"):
 		return "type"
-	case h.Get("Content-Encoding") != "":
-		return "encoding"
 	case !a.resumed:
 		return ""
 	case r.AttemptID != a.call.metadata.AttemptID:
