process/gateway: an endpoint that leaves gets no request when its connection is there

Its instance's link was squeezed, with chunks of weights on it.

What is mended: the check before anything is sent asks for the caller and the weights, but not whether the endpoint leaves, is gone, is out of service or wants a pause; a dial may take 0.5 s. What isn't shown: how much of the 1.9 s was the dial. Attempts that fail or are withdrawn log the time until they had a connection ("connected"), so that the next such play tells.

--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -43,6 +43,7 @@
 
 	// These fields belong to the attempt's goroutine.
 	sent       time.Time
+	connected  time.Duration // how long it took to get a connection; 0 before
 	firstEvent time.Time // when the first event was received; zero before
 	events     int       // events received
 
@@ -297,7 +298,7 @@
 	var unsent *fulmardeal.UnsentError
 	isUnsent := errors.As(err, &unsent)
 	if errors.Is(ctx.Err(), context.Canceled) {
-		c.log.Info("connection to the endpoint closed", "endpoint", e.ID(), "unsent", isUnsent, "after", time.Since(a.sent), "events", a.events)
+		c.log.Info("connection to the endpoint closed", "endpoint", e.ID(), "unsent", isUnsent, "after", time.Since(a.sent), "connected", a.connected, "events", a.events)
 		return update{result: maybeRun, outcome: dispatch.OutcomeCancelled}
 	}
 	var withheld *forward.WithheldError
@@ -312,7 +313,7 @@
 	if started || a.resumed {
 		point = "event"
 	}
-	c.log.Warn("endpoint failed", "endpoint", e.ID(), "unsent", isUnsent, "err", err, "silence", time.Since(lastHeard), "point", point,
+	c.log.Warn("endpoint failed", "endpoint", e.ID(), "unsent", isUnsent, "connected", a.connected, "err", err, "silence", time.Since(lastHeard), "point", point,
 		"events", a.events, "crashed", crashed, "known", known, "parts", strings.Join(c.metadata.PromptParts, ","))
 	if crashed {
 		a.permit.Crashed(time.Now(), quarantine.Crash{Endpoint: e.ID(), Attempt: c.metadata.AttemptID, Sent: a.sent, Begun: a.answering()})
@@ -324,13 +325,17 @@
 	return update{result: maybeRun, outcome: dispatch.OutcomeFailed, suspect: crashed && !known}
 }
 
-// checkSend returns an error if the caller has left or the endpoint's weights may not be
-// used any longer. It is called just before the request is sent: the endpoint may have been
-// selected, and its connection opened, some time ago.
+// checkSend returns an error if the caller has left, the endpoint must get no more requests, or
+// its weights may not be used any longer. It is called just before the request is sent: the
+// endpoint may have been selected, and its connection opened, some time ago.
 func (a *attempt) checkSend() error {
+	a.connected = time.Since(a.sent)
 	if err := a.call.checkCaller(); err != nil {
 		return err
 	}
+	if err := a.reservation.CheckEndpoint(); err != nil {
+		return err
+	}
 	if by := a.reservation.StartBy(); !by.IsZero() && !time.Now().Before(by) {
 		return &oldWeightsError{weights: a.reservation.Weights(), late: time.Since(by)}
 	}
--- a/internal/traffic/dispatch/reservation.go
+++ b/internal/traffic/dispatch/reservation.go
@@ -68,6 +68,31 @@
 	return e.isLeaving() || !slices.Contains(r.group.endpoints, e), time.Now().Before(e.coldUntil)
 }
 
+// BarredError reports that an endpoint must get no more requests since its slot was reserved.
+type BarredError struct {
+	Reason string // "leaving", "out of service" or "paused"
+}
+
+func (e *BarredError) Error() string { return "endpoint must get no requests: " + e.Reason }
+
+// CheckEndpoint checks that the endpoint may still get requests. What bars it may have become
+// known while a connection was opened. The error is a *BarredError.
+func (r *Reservation) CheckEndpoint() error {
+	t := r.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := r.endpoint
+	switch {
+	case e.isLeaving() || !slices.Contains(r.group.endpoints, e):
+		return &BarredError{Reason: "leaving"}
+	case t.view.IsOutOfService(e.registration.DataCentre):
+		return &BarredError{Reason: "out of service"}
+	case e.isPaused(time.Now()):
+		return &BarredError{Reason: "paused"}
+	}
+	return nil
+}
+
 // Weights returns the version of the weights that the endpoint was known to
 // hold when the slot was reserved.
 func (r *Reservation) Weights() int64 { return r.weights }
