--- a/internal/process/gateway/attempt.go
+++ b/internal/process/gateway/attempt.go
@@ -44,8 +44,8 @@
 	// These fields belong to the attempt's goroutine.
 	sent       time.Time
 	connected  time.Duration // how long it took to get a connection; 0 before
-	firstEvent time.Time // when the first event was received; zero before
-	events     int       // events received
+	firstEvent time.Time     // when the first event was received; zero before
+	events     int           // events received
 
 	// The fields below belong to the call.
 	cancelled bool
