cli/command: processes outlive the reader of their log, and end without one

Cause: Go ends a process whose write to standard output fails with EPIPE unless SIGPIPE is ignored; and the log waited without a limit for its last lines to be written. SIGPIPE is ignored where signals are caught, and the log waits 0.3 s at most.

--- a/internal/cli/command/native.go
+++ b/internal/cli/command/native.go
@@ -117,8 +117,10 @@
 
 // catchSignals returns a context that ends at the first of the signals, and a function that
 // ends it. The signals stay caught until the process exits: one that arrives while the process
-// returns from main must not change its exit status.
+// returns from main must not change its exit status. SIGPIPE is ignored, since a process that
+// serves has to outlive the reader of its log.
 func catchSignals(signals ...os.Signal) (context.Context, context.CancelFunc) {
+	signal.Ignore(syscall.SIGPIPE)
 	ctx, cancel := context.WithCancel(context.Background())
 	caught := make(chan os.Signal, 1)
 	signal.Notify(caught, signals...)
--- a/internal/cli/command/native_test.go
+++ b/internal/cli/command/native_test.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"fmt"
 	"log/slog"
 	"os"
 	"os/exec"
@@ -13,7 +14,7 @@
 
 // startAtSettings starts a process that is reading its settings. They are what is written to
 // the pipe that it returns.
-func startAtSettings(t *testing.T, name string, errs *strings.Builder) (*exec.Cmd, *os.File) {
+func startAtSettings(t *testing.T, name string, out *os.File, errs *strings.Builder) (*exec.Cmd, *os.File) {
 	t.Helper()
 	executable, err := os.Executable()
 	if err != nil {
@@ -26,6 +27,9 @@
 	c := exec.Command(executable, name)
 	c.Args[0] = "fulmardeal" // runs the program instead of the tests
 	c.Env = append(os.Environ(), "FULMARDEAL_SETTINGS="+settings)
+	if out != nil {
+		c.Stdout = out
+	}
 	c.Stderr = errs
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
@@ -54,7 +58,7 @@
 	for _, name := range []string{"gateway", "loader"} {
 		t.Run(name, func(t *testing.T) {
 			var errs strings.Builder
-			c, pipe := startAtSettings(t, name, &errs)
+			c, pipe := startAtSettings(t, name, nil, &errs)
 			if err := c.Process.Signal(syscall.SIGHUP); err != nil {
 				t.Error(err)
 			}
@@ -67,6 +71,59 @@
 	}
 }
 
+// A process that serves must go on when the reader of its log has ended, and end when nobody
+// reads it.
+func TestLogWithoutReader(t *testing.T) {
+	for _, name := range []string{"gateway", "loader"} {
+		for _, ended := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/ended=%t", name, ended), func(t *testing.T) {
+				reader, writer, err := os.Pipe()
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer reader.Close()
+				if ended {
+					reader.Close()
+				} else {
+					fillPipe(t, writer)
+				}
+				var errs strings.Builder
+				c, pipe := startAtSettings(t, name, writer, &errs)
+				writer.Close()
+				if err := c.Process.Signal(syscall.SIGHUP); err != nil { // logs a line
+					t.Error(err)
+				}
+				time.Sleep(200 * time.Millisecond)
+				killer := time.AfterFunc(5*time.Second, func() { _ = c.Process.Kill() })
+				defer killer.Stop()
+				writeBadSettings(t, pipe)
+				err = c.Wait()
+				if c.ProcessState.ExitCode() != exitFailed || !strings.Contains(errs.String(), "settings: line 1") {
+					t.Errorf("%v, %q; want an error in the settings", err, errs.String())
+				}
+			})
+		}
+	}
+}
+
+// fillPipe writes to a pipe until it is full.
+func fillPipe(t *testing.T, w *os.File) {
+	t.Helper()
+	if err := w.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		if _, err := w.Write(make([]byte, 4096)); err != nil {
+			break
+		}
+	}
+	for { // what is left of a page
+		if _, err := w.Write([]byte{0}); err != nil {
+			return
+		}
+	}
+}
+
 // sendSignals sends this process all signals that a platform may send it.
 func sendSignals(t *testing.T) {
 	t.Helper()
@@ -97,7 +154,7 @@
 func TestSignalsWhileExiting(t *testing.T) {
 	for range 20 {
 		var errs strings.Builder
-		c, pipe := startAtSettings(t, "gateway", &errs)
+		c, pipe := startAtSettings(t, "gateway", nil, &errs)
 		exited := make(chan error, 1)
 		go func() { exited <- c.Wait() }()
 		writeBadSettings(t, pipe)
--- a/internal/process/logbook/logbook.go
+++ b/internal/process/logbook/logbook.go
@@ -19,6 +19,10 @@
 	queueLength = 4096 // lines; about 1 MB at 250 bytes per line
 	infoRate    = 200  // lines per second with the same message, below Warn
 	warnRate    = 500  // lines per second with the same message, Warn and above
+
+	// closeTimeout limits the wait for the last lines to be written. It is below what a graceful
+	// shutdown leaves of the time until SIGKILL.
+	closeTimeout = 300 * time.Millisecond
 )
 
 // Writer queues lines and writes them in the background. It is the writer of a
@@ -36,14 +40,17 @@
 }
 
 // New returns a logger that writes to out, its Writer, and a function that
-// writes the queued lines and stops.
+// writes the queued lines and stops. It gives up if out blocks.
 func New(out io.Writer, level slog.Leveler) (*slog.Logger, *Writer, func()) {
 	w := &Writer{lines: make(chan []byte, queueLength), quit: make(chan struct{}), done: make(chan struct{}), counts: make(map[string]int)}
 	go w.write(out)
 	h := &handler{writer: w, text: slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})}
 	return slog.New(h), w, func() {
 		close(w.quit)
-		<-w.done
+		select {
+		case <-w.done:
+		case <-time.After(closeTimeout):
+		}
 	}
 }
 
--- a/internal/process/logbook/logbook_test.go
+++ b/internal/process/logbook/logbook_test.go
@@ -40,6 +40,24 @@
 	cleanup()
 }
 
+// A process must end although nobody reads its log.
+func TestCloseWhileWriterBlocks(t *testing.T) {
+	w := blockedWriter{wait: make(chan struct{})}
+	defer close(w.wait)
+	log, _, cleanup := New(w, slog.LevelInfo)
+	log.Info("started")
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		cleanup()
+	}()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("not closed within 5 s")
+	}
+}
+
 func TestExcessLinesAreCounted(t *testing.T) {
 	var out syncBuffer
 	log, _, cleanup := New(&out, slog.LevelInfo)
