--- a/internal/fleet/catalogue/table.go
+++ b/internal/fleet/catalogue/table.go
@@ -258,9 +258,10 @@
 	v.keys, v.refusedKeys = keysOf(c.Customers)
 }
 
-// keysOf returns the customers by key, and the number of keys that are not accepted. An endpoint learns a request's customer by name only, so
-// the keys of a customer without a name are not accepted, nor is a key that customers of
-// different names hold: one of them would be served as the other.
+// keysOf returns the customers by key, and the number of keys that are not accepted. An
+// endpoint learns a request's customer by name only, so the keys of a customer without a name
+// are not accepted, nor is a key that customers of different names hold: one of them would be
+// served as the other.
 func keysOf(customers []fulmardeal.Customer) (keys map[string]*fulmardeal.Customer, refused int) {
 	keys = make(map[string]*fulmardeal.Customer)
 	ambiguous := make(map[string]bool)
--- a/internal/process/gateway/access.go
+++ b/internal/process/gateway/access.go
@@ -65,12 +65,11 @@
 	if n := view.RefusedKeys(); n > 0 {
 		g.log.Warn("keys that name no single customer are not accepted", "version", c.Version, "keys", n)
 	}
-	switch {
-	case view.RequiresKey() && view.KeyCount() == 0:
+	if view.RequiresKey() && view.KeyCount() == 0 {
 		g.log.Warn("no customer has a key; only public routes are served", "version", c.Version, "listed", c.Keyed, "customers", len(c.Customers))
-	default:
-		g.log.Info("access in force", "access", access(view), "version", c.Version, "customers", len(c.Customers), "keys", view.KeyCount())
+		return
 	}
+	g.log.Info("access in force", "access", access(view), "version", c.Version, "customers", len(c.Customers), "keys", view.KeyCount())
 }
 
 // storeKeyed writes to the store that keys are required, so that entries that start later know
